--- a/bench/src/main/java/dev/arbutusroad/bench/ClaimWrites.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/ClaimWrites.java
@@ -7,7 +7,7 @@
 import dev.arbutusroad.node.claim.ClaimDecision;
 import dev.arbutusroad.node.claim.ClaimsDuty;
 import dev.arbutusroad.node.claim.ClaimsIdentity;
-import dev.arbutusroad.platform.http.HttpPlatformClient;
+import dev.arbutusroad.platform.PlatformClient;
 import dev.arbutusroad.tools.platform.PlatformFault;
 import dev.arbutusroad.tools.platform.PlatformStandIn;
 import dev.arbutusroad.tools.platform.PlatformStats;
@@ -74,7 +74,7 @@
       throws IOException {
     List<ClaimsDuty> nodes = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      HttpPlatformClient store = closer.register(new HttpPlatformClient(platform.address()));
+      PlatformClient store = closer.register(new PlatformClient(platform.address()));
       nodes.add(
           closer.register(
               ClaimsDuty.start(new ClaimsIdentity("node-" + i, 1), store, Ticker.system())));
--- a/cli/src/main/java/dev/arbutusroad/cli/ConfigDiffCommand.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/ConfigDiffCommand.java
@@ -3,7 +3,7 @@
 import dev.arbutusroad.core.config.Configuration;
 import dev.arbutusroad.core.config.ConfigurationDiff;
 import dev.arbutusroad.core.result.Failure;
-import dev.arbutusroad.platform.config.ConfigurationStore;
+import dev.arbutusroad.core.store.ConfigurationStore;
 import io.vavr.control.Either;
 import java.io.PrintStream;
 import java.util.ArrayList;
--- a/cli/src/main/java/dev/arbutusroad/cli/ConfigRollbackCommand.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/ConfigRollbackCommand.java
@@ -1,6 +1,6 @@
 package dev.arbutusroad.cli;
 
-import dev.arbutusroad.platform.config.VersionEntry;
+import dev.arbutusroad.core.store.VersionEntry;
 import java.io.PrintStream;
 import java.util.List;
 import org.kohsuke.args4j.Option;
--- a/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
@@ -1,8 +1,10 @@
 package dev.arbutusroad.cli;
 
+import dev.arbutusroad.core.edge.Deployment;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.settings.NodeSettings;
 import dev.arbutusroad.node.process.NodeProcess;
+import dev.arbutusroad.platform.PlatformDeployment;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -31,12 +33,15 @@
   }
 
   private static int start(String file, PrintStream err) {
+    if (file == null) {
+      return CommandLine.badUsage(err, "--settings is missing");
+    }
     Either<Failure, NodeSettings> settings = SettingsFile.read(Path.of(file));
     if (settings.isLeft()) {
       err.println(settings.getLeft());
       return FAILED;
     }
-    try (NodeProcess node = NodeProcess.start(settings.get())) {
+    try (NodeProcess node = NodeProcess.start(settings.get(), deployment(settings.get()))) {
       ProcessSignals signals = ProcessSignals.install();
       signals.awaitFirst();
       Thread stop = new Thread(node::drain, "stop");
@@ -52,9 +57,19 @@
     }
   }
 
+  private static Deployment deployment(NodeSettings settings) {
+    return switch (settings.deployment()) {
+      case ARBUTUS -> new ArbutusDeployment();
+      case PLATFORM -> new PlatformDeployment();
+    };
+  }
+
   /** Options of the command. */
   private static final class Options {
-    @Option(name = "--settings", metaVar = "FILE", required = true, usage = "the node's settings")
-    private String settings;
+    @Option(
+        name = "--settings",
+        metaVar = "FILE",
+        usage = "the node's settings; default: the value of ARBUTUSROAD_CONFIG")
+    private String settings = System.getenv("ARBUTUSROAD_CONFIG");
   }
 }
--- a/cli/src/main/java/dev/arbutusroad/cli/StoreOptions.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/StoreOptions.java
@@ -3,11 +3,11 @@
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.store.ConfigurationStore;
+import dev.arbutusroad.core.store.PlatformClientSettings;
+import dev.arbutusroad.core.store.PlatformMetrics;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.platform.PlatformMetrics;
-import dev.arbutusroad.platform.config.ConfigurationStore;
-import dev.arbutusroad.platform.http.HttpPlatformClient;
-import dev.arbutusroad.platform.http.PlatformClientSettings;
+import dev.arbutusroad.platform.PlatformClient;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -32,8 +32,8 @@
       String found = platform == null ? "is missing" : "is " + platform;
       return CommandLine.badUsage(err, "--platform must be ip:port and " + found);
     }
-    try (HttpPlatformClient client =
-        new HttpPlatformClient(
+    try (PlatformClient client =
+        new PlatformClient(
             address.orElseThrow(),
             PlatformClientSettings.COMMAND,
             PlatformMetrics.NONE,
--- a/core/src/main/java/dev/arbutusroad/core/config/Configuration.java
+++ b/core/src/main/java/dev/arbutusroad/core/config/Configuration.java
@@ -1,10 +1,12 @@
 package dev.arbutusroad.core.config;
 
 import dev.arbutusroad.core.label.CallAttributes;
+import dev.arbutusroad.core.route.RouteTable;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +25,7 @@
   private final List<PolicyRule> rules;
   private final Map<PolicyProperty, Long> defaults;
   private final RuleTable table;
+  private final Optional<RouteTable> routes;
 
   Configuration(
       long version,
@@ -31,6 +34,17 @@
       List<LabellingRule> labelling,
       List<PolicyRule> rules,
       Map<PolicyProperty, Long> defaults) {
+    this(version, document, services, labelling, rules, defaults, Optional.empty());
+  }
+
+  private Configuration(
+      long version,
+      String document,
+      List<String> services,
+      List<LabellingRule> labelling,
+      List<PolicyRule> rules,
+      Map<PolicyProperty, Long> defaults,
+      Optional<RouteTable> routes) {
     this.version = version;
     this.document = document;
     this.hash = hashOf(document);
@@ -39,6 +53,27 @@
     this.rules = List.copyOf(rules);
     this.defaults = Map.copyOf(defaults);
     this.table = new RuleTable(labelling, rules, defaults);
+    this.routes = routes;
+  }
+
+  /** A configuration whose routes attach the labels that its rules select on. */
+  public static Configuration routed(
+      long version,
+      String document,
+      List<String> services,
+      List<PolicyRule> rules,
+      RouteTable routes) {
+    Map<PolicyProperty, Long> defaults = new EnumMap<>(PolicyProperty.class);
+    for (PolicyProperty property : PolicyProperty.values()) {
+      defaults.put(property, property.builtInDefault());
+    }
+    return new Configuration(
+        version, document, services, List.of(), rules, defaults, Optional.of(routes));
+  }
+
+  @Override
+  public Optional<RouteTable> routes() {
+    return routes;
   }
 
   @Override
--- a/core/src/main/java/dev/arbutusroad/core/config/PolicyResolver.java
+++ b/core/src/main/java/dev/arbutusroad/core/config/PolicyResolver.java
@@ -1,6 +1,8 @@
 package dev.arbutusroad.core.config;
 
 import dev.arbutusroad.core.label.CallAttributes;
+import dev.arbutusroad.core.route.RouteTable;
+import java.util.Optional;
 
 /** Decides the policy of a call under one configuration version. */
 public interface PolicyResolver {
@@ -9,4 +11,9 @@
 
   /** The policy of a call. Total: a call that no rule matches gets the defaults. */
   CallPolicy resolve(CallAttributes call);
+
+  /** Where calls go; empty if callers name their destination service themselves. */
+  default Optional<RouteTable> routes() {
+    return Optional.empty();
+  }
 }
--- /dev/null
+++ b/core/src/main/java/dev/arbutusroad/core/edge/CallerTerms.java
@@ -0,0 +1,20 @@
+package dev.arbutusroad.core.edge;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What a caller says of its call.
+ *
+ * @param requestId identifies the attempt of the caller in logs and in the target's answer
+ * @param deadlineMillis how long the caller waits, in milliseconds
+ * @param orderKey the caller's key of an unrepeatable order
+ */
+public record CallerTerms(
+    Optional<String> requestId, Optional<Long> deadlineMillis, Optional<String> orderKey) {
+  public CallerTerms {
+    Objects.requireNonNull(requestId, "requestId");
+    Objects.requireNonNull(deadlineMillis, "deadlineMillis");
+    Objects.requireNonNull(orderKey, "orderKey");
+  }
+}
--- a/core/src/main/java/dev/arbutusroad/core/result/ResultCode.java
+++ b/core/src/main/java/dev/arbutusroad/core/result/ResultCode.java
@@ -21,6 +21,7 @@
   ORDER_KEY_EXPIRED(110, 409, RunState.NOT_RUN, "the order key is too old"),
   BAD_REQUEST(111, 400, RunState.NOT_RUN, "the request is malformed"),
   NOT_READY(112, 503, RunState.NOT_RUN, "the node is not ready"),
+  NO_ROUTE(113, 404, RunState.NOT_RUN, "no route leads to the host and path"),
   OUTCOME_UNKNOWN(200, 502, RunState.UNKNOWN, "the request may have run"),
   DEADLINE_EXCEEDED(201, 504, RunState.UNKNOWN, "the deadline passed while the request ran"),
   TARGET_DIED(202, 502, RunState.UNKNOWN, "the target failed while the request ran"),
--- a/core/src/main/java/dev/arbutusroad/core/settings/Limits.java
+++ b/core/src/main/java/dev/arbutusroad/core/settings/Limits.java
@@ -7,9 +7,14 @@
  * @param platformTimeoutMillis how long one platform operation may take
  * @param connectTimeoutMillis how long opening a connection to a node or target may take
  * @param queueLimit how many calls may wait for admission
+ * @param announcementMillis how often the target announces itself
  */
 public record Limits(
-    long drainLimitMillis, long platformTimeoutMillis, long connectTimeoutMillis, int queueLimit) {
+    long drainLimitMillis,
+    long platformTimeoutMillis,
+    long connectTimeoutMillis,
+    int queueLimit,
+    long announcementMillis) {
   /** Longer than the longest upload over a slow client connection. */
   public static final long DEFAULT_DRAIN_LIMIT_MILLIS = 120_000;
 
@@ -30,6 +35,15 @@
   public static final int MIN_QUEUE_LIMIT = 1;
   public static final int MAX_QUEUE_LIMIT = 100_000;
 
+  /** The interval of the product's own interface. */
+  public static final long DEFAULT_ANNOUNCEMENT_MILLIS = 1_000;
+
+  public static final long MIN_ANNOUNCEMENT_MILLIS = 100;
+  public static final long MAX_ANNOUNCEMENT_MILLIS = 60_000;
+
+  /** A target is taken as dead when this many announcements are late or lost. */
+  private static final int MISSED_ANNOUNCEMENTS = 3;
+
   public Limits {
     check("drainLimitMillis", drainLimitMillis, MIN_DRAIN_LIMIT_MILLIS, MAX_DRAIN_LIMIT_MILLIS);
     check(
@@ -43,6 +57,13 @@
         MIN_CONNECT_TIMEOUT_MILLIS,
         MAX_CONNECT_TIMEOUT_MILLIS);
     check("queueLimit", queueLimit, MIN_QUEUE_LIMIT, MAX_QUEUE_LIMIT);
+    check(
+        "announcementMillis", announcementMillis, MIN_ANNOUNCEMENT_MILLIS, MAX_ANNOUNCEMENT_MILLIS);
+  }
+
+  /** How long a target that does not renew its announcement is believed. */
+  public long targetLeaseMillis() {
+    return MISSED_ANNOUNCEMENTS * announcementMillis;
   }
 
   /** The values used when the settings name none. */
@@ -51,7 +72,8 @@
         DEFAULT_DRAIN_LIMIT_MILLIS,
         DEFAULT_PLATFORM_TIMEOUT_MILLIS,
         DEFAULT_CONNECT_TIMEOUT_MILLIS,
-        DEFAULT_QUEUE_LIMIT);
+        DEFAULT_QUEUE_LIMIT,
+        DEFAULT_ANNOUNCEMENT_MILLIS);
   }
 
   private static void check(String name, long value, long min, long max) {
--- a/core/src/main/java/dev/arbutusroad/core/settings/Listeners.java
+++ b/core/src/main/java/dev/arbutusroad/core/settings/Listeners.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * The addresses that a node binds.
@@ -10,16 +11,31 @@
  * @param exit calls and announcements of the local target (TCP)
  * @param peer control messages of other nodes (UDP and TCP)
  * @param admin health, metrics and dumps for operators (TCP)
+ * @param announcements announcements of the local target, if they do not come to {@code exit} (TCP)
+ * @param readiness whether the node takes new callers (TCP)
  */
 public record Listeners(
     InetSocketAddress caller,
     InetSocketAddress exit,
     InetSocketAddress peer,
-    InetSocketAddress admin) {
+    InetSocketAddress admin,
+    Optional<InetSocketAddress> announcements,
+    Optional<InetSocketAddress> readiness) {
   public Listeners {
     Objects.requireNonNull(caller, "caller");
     Objects.requireNonNull(exit, "exit");
     Objects.requireNonNull(peer, "peer");
     Objects.requireNonNull(admin, "admin");
+    Objects.requireNonNull(announcements, "announcements");
+    Objects.requireNonNull(readiness, "readiness");
+  }
+
+  /** Listeners without those that only some deployments have. */
+  public Listeners(
+      InetSocketAddress caller,
+      InetSocketAddress exit,
+      InetSocketAddress peer,
+      InetSocketAddress admin) {
+    this(caller, exit, peer, admin, Optional.empty(), Optional.empty());
   }
 }
--- a/core/src/main/java/dev/arbutusroad/core/settings/NodeSettings.java
+++ b/core/src/main/java/dev/arbutusroad/core/settings/NodeSettings.java
@@ -18,6 +18,7 @@
  * @param platform the address of the table service and the object store
  * @param sharedSecret the secret of the installation
  * @param seeds peer addresses asked first when the store is unavailable
+ * @param deployment the deployment that the node runs in
  * @param limits bounded values that have defaults
  */
 public record NodeSettings(
@@ -30,6 +31,7 @@
     InetSocketAddress platform,
     SharedSecret sharedSecret,
     List<InetSocketAddress> seeds,
+    DeploymentKind deployment,
     Limits limits) {
   public NodeSettings {
     Objects.requireNonNull(id, "id");
@@ -40,6 +42,7 @@
     Objects.requireNonNull(listeners, "listeners");
     Objects.requireNonNull(platform, "platform");
     Objects.requireNonNull(sharedSecret, "sharedSecret");
+    Objects.requireNonNull(deployment, "deployment");
     Objects.requireNonNull(limits, "limits");
     seeds = List.copyOf(seeds);
   }
--- a/core/src/main/java/dev/arbutusroad/core/settings/NodeSettingsParser.java
+++ b/core/src/main/java/dev/arbutusroad/core/settings/NodeSettingsParser.java
@@ -11,10 +11,12 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Reads a settings file. */
 public final class NodeSettingsParser {
@@ -32,8 +34,13 @@
           "drainLimitMillis",
           "platformTimeoutMillis",
           "connectTimeoutMillis",
-          "queueLimit");
+          "queueLimit",
+          "announcementMillis",
+          "deployment");
   private static final List<String> LISTENER_KEYS = List.of("caller", "exit", "peer", "admin");
+  private static final List<String> OPTIONAL_LISTENER_KEYS = List.of("announcements", "readiness");
+  private static final List<String> ALL_LISTENER_KEYS =
+      Stream.concat(LISTENER_KEYS.stream(), OPTIONAL_LISTENER_KEYS.stream()).toList();
   private static final int MAX_SEEDS = 64;
 
   private NodeSettingsParser() {}
@@ -64,9 +71,31 @@
         address(settings.required("platform")),
         secret(settings.required("sharedSecret")),
         seeds(settings),
+        deployment(settings),
         limits(settings));
   }
 
+  private static DeploymentKind deployment(DocumentSection settings)
+      throws InvalidDocumentException {
+    if (settings.optional("deployment").isEmpty()) {
+      return DeploymentKind.ARBUTUS;
+    }
+    DocumentValue value = settings.required("deployment");
+    String name = value.asString();
+    return Arrays.stream(DeploymentKind.values())
+        .filter(kind -> kind.key().equals(name))
+        .findFirst()
+        .orElseThrow(
+            () ->
+                value.error(
+                    ResultCode.SETTINGS_RANGE,
+                    "must be one of "
+                        + Arrays.stream(DeploymentKind.values()).map(DeploymentKind::key).toList()
+                        + ", not \""
+                        + name
+                        + "\""));
+  }
+
   private static Limits limits(DocumentSection settings) throws InvalidDocumentException {
     return new Limits(
         settings.longOr(
@@ -89,7 +118,12 @@
                 "queueLimit",
                 Limits.DEFAULT_QUEUE_LIMIT,
                 Limits.MIN_QUEUE_LIMIT,
-                Limits.MAX_QUEUE_LIMIT));
+                Limits.MAX_QUEUE_LIMIT),
+        settings.longOr(
+            "announcementMillis",
+            Limits.DEFAULT_ANNOUNCEMENT_MILLIS,
+            Limits.MIN_ANNOUNCEMENT_MILLIS,
+            Limits.MAX_ANNOUNCEMENT_MILLIS));
   }
 
   private static String name(DocumentValue value) throws InvalidDocumentException {
@@ -132,10 +166,20 @@
                         + "\""));
   }
 
+  private static Optional<InetSocketAddress> optionalAddress(DocumentSection section, String key)
+      throws InvalidDocumentException {
+    return section.optional(key).isPresent()
+        ? Optional.of(address(section.required(key)))
+        : Optional.empty();
+  }
+
   private static Listeners listeners(DocumentValue value) throws InvalidDocumentException {
-    DocumentSection section = value.asSection(LISTENER_KEYS);
+    DocumentSection section = value.asSection(ALL_LISTENER_KEYS);
     Map<Integer, String> nameOfPort = new HashMap<>();
-    for (String key : LISTENER_KEYS) {
+    for (String key : ALL_LISTENER_KEYS) {
+      if (OPTIONAL_LISTENER_KEYS.contains(key) && section.optional(key).isEmpty()) {
+        continue;
+      }
       DocumentValue listener = section.required(key);
       String other = nameOfPort.put(address(listener).getPort(), key);
       if (other != null) {
@@ -148,7 +192,9 @@
         address(section.required("caller")),
         address(section.required("exit")),
         address(section.required("peer")),
-        address(section.required("admin")));
+        address(section.required("admin")),
+        optionalAddress(section, "announcements"),
+        optionalAddress(section, "readiness"));
   }
 
   private static SharedSecret secret(DocumentValue value) throws InvalidDocumentException {
--- a/platform/src/main/java/dev/arbutusroad/platform/http/CircuitBreaker.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/CircuitBreaker.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform.http;
+package dev.arbutusroad.core.store;
 
 import dev.arbutusroad.core.time.Ticker;
 import java.util.random.RandomGenerator;
--- a/platform/src/main/java/dev/arbutusroad/platform/config/ConfigurationStore.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/ConfigurationStore.java
@@ -1,15 +1,10 @@
-package dev.arbutusroad.platform.config;
+package dev.arbutusroad.core.store;
 
 import dev.arbutusroad.core.config.Configuration;
+import dev.arbutusroad.core.config.ConfigurationFormat;
 import dev.arbutusroad.core.config.ConfigurationParser;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.ObjectStore;
-import dev.arbutusroad.platform.RepeatableCommit;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -20,7 +15,7 @@
 import java.util.random.RandomGenerator;
 
 /** Reads and applies configuration versions. The futures never complete exceptionally. */
-public final class ConfigurationStore {
+public final class ConfigurationStore implements VersionSource {
   static final String CURRENT_KEY = "config/current";
   private static final String HISTORY_PREFIX = "config/v/";
   private static final String OBJECT_PREFIX = "config/";
@@ -35,7 +30,7 @@
     this.commits = new RepeatableCommit(table, random);
   }
 
-  /** The version in force; empty before the first one is applied. */
+  @Override
   public CompletableFuture<Either<Failure, Optional<VersionEntry>>> readCurrentVersion() {
     return entry(CURRENT_KEY);
   }
@@ -62,11 +57,16 @@
                 : read(entry.get()));
   }
 
-  /** The configuration that an entry stands for. */
+  @Override
   public CompletableFuture<Either<Failure, Configuration>> read(VersionEntry entry) {
     return then(objects.get(OBJECT_PREFIX + entry.hash()), bytes -> done(decode(entry, bytes)));
   }
 
+  @Override
+  public ConfigurationFormat format() {
+    return ConfigurationParser::parse;
+  }
+
   private static Either<Failure, Configuration> decode(VersionEntry entry, Optional<byte[]> bytes) {
     String name = OBJECT_PREFIX + entry.hash();
     if (bytes.isEmpty()) {
--- a/platform/src/main/java/dev/arbutusroad/platform/http/OperationLimiter.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/OperationLimiter.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform.http;
+package dev.arbutusroad.core.store;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/platform/src/main/java/dev/arbutusroad/platform/http/PlatformClientSettings.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/PlatformClientSettings.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform.http;
+package dev.arbutusroad.core.store;
 
 /**
  * Limits of the platform client.
--- a/platform/src/main/java/dev/arbutusroad/platform/PlatformMetrics.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/PlatformMetrics.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform;
+package dev.arbutusroad.core.store;
 
 import dev.arbutusroad.core.result.ResultCode;
 import java.util.Optional;
--- a/platform/src/main/java/dev/arbutusroad/platform/RepeatableCommit.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/RepeatableCommit.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform;
+package dev.arbutusroad.core.store;
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
@@ -13,9 +13,9 @@
  * Commits writes whose values carry the caller's own token, and repeats a commit whose answer was
  * lost after a read of its first row.
  *
- * <p>The read decides when it shows the written value, or a newer row of somebody else. An older
- * row decides nothing, as reads may be old: the commit is then repeated under the same
- * preconditions, so it takes effect at most once.
+ * <p>The read decides when it shows the written value, or a newer row of somebody else, as the
+ * first row must be one that nobody else overwrites. An older row decides nothing, as reads may be
+ * old: the commit is then repeated under the same preconditions, so it takes effect at most once.
  */
 public final class RepeatableCommit {
   private static final int MAX_ATTEMPTS = 4;
@@ -74,15 +74,13 @@
               Optional<Row> row = read.isRight() ? read.get() : Optional.empty();
               if (row.map(Row::value).equals(first.value())) {
                 return CompletableFuture.completedFuture(
-                    Either.right(new CommitResult(true, List.of())));
+                    Either.right(CommitResult.applied(row.orElseThrow().version())));
               }
-              if (row.isPresent() && row.get().version() == first.expectedVersion() + 1) {
+              if (row.isPresent() && row.get().version() > first.expectedVersion()) {
                 return CompletableFuture.completedFuture(
-                    Either.right(refusal.orElse(new CommitResult(false, List.of(first.key())))));
+                    Either.right(refusal.orElse(CommitResult.conflict(List.of(first.key())))));
               }
-              boolean overwritten =
-                  row.isPresent() && row.get().version() > first.expectedVersion() + 1;
-              if (overwritten || attempt >= MAX_ATTEMPTS) {
+              if (attempt >= MAX_ATTEMPTS) {
                 return CompletableFuture.completedFuture(Either.left(loss));
               }
               long delayMillis = 1 + random.nextLong(BACKOFF_MILLIS << attempt);
--- a/platform/src/main/java/dev/arbutusroad/platform/Row.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/Row.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform;
+package dev.arbutusroad.core.store;
 
 import java.util.Objects;
 
@@ -7,7 +7,7 @@
  *
  * @param key the key
  * @param value the value, at most 128 KiB of UTF-8
- * @param version raised by one with each write of the row, starting at 1
+ * @param version grows with each write of the row; from a counter of the whole table, at least 1
  */
 public record Row(String key, String value, long version) {
   public Row {
--- a/platform/src/main/java/dev/arbutusroad/platform/config/VersionEntry.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/VersionEntry.java
@@ -1,11 +1,10 @@
-package dev.arbutusroad.platform.config;
+package dev.arbutusroad.core.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.Row;
 import io.vavr.control.Either;
 import java.util.Objects;
 
--- a/platform/src/main/java/dev/arbutusroad/platform/Write.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/Write.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform;
+package dev.arbutusroad.core.store;
 
 import java.util.Objects;
 import java.util.Optional;
--- a/platform/src/test/java/dev/arbutusroad/platform/http/CircuitBreakerTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/store/CircuitBreakerTest.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform.http;
+package dev.arbutusroad.core.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/platform/src/test/java/dev/arbutusroad/platform/config/ConfigurationStoreTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/store/ConfigurationStoreTest.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.platform.config;
+package dev.arbutusroad.core.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,7 +6,6 @@
 import dev.arbutusroad.core.config.ConfigurationParser;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.Row;
 import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.List;
--- a/platform/src/test/java/dev/arbutusroad/platform/config/FakePlatform.java
+++ b/core/src/test/java/dev/arbutusroad/core/store/FakePlatform.java
@@ -1,12 +1,7 @@
-package dev.arbutusroad.platform.config;
+package dev.arbutusroad.core.store;
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.ObjectStore;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -34,6 +29,7 @@
   private final TreeMap<String, Row> rows = new TreeMap<>();
   private final Map<String, byte[]> stored = new HashMap<>();
   private List<Write> late = List.of();
+  private long version;
 
   Optional<Row> row(String key) {
     return Optional.ofNullable(rows.get(key));
@@ -52,7 +48,7 @@
   @Override
   public CompletableFuture<Either<Failure, CommitResult>> commit(List<Write> writes) {
     Fate fate = fates.isEmpty() ? Fate.ANSWERED : fates.poll();
-    CommitResult result = new CommitResult(false, List.of());
+    CommitResult result = CommitResult.conflict(List.of());
     if (fate == Fate.ANSWERED || fate == Fate.ANSWER_LOST) {
       result = apply(writes);
     }
@@ -71,12 +67,12 @@
             .map(Write::key)
             .toList();
     if (conflicts.isEmpty()) {
-      writes.forEach(
-          w ->
-              rows.put(
-                  w.key(), new Row(w.key(), w.value().orElseThrow(), w.expectedVersion() + 1)));
+      version++;
+      writes.forEach(w -> rows.put(w.key(), new Row(w.key(), w.value().orElseThrow(), version)));
     }
-    return new CommitResult(conflicts.isEmpty(), conflicts);
+    return conflicts.isEmpty()
+        ? CommitResult.applied(writes.isEmpty() ? 0 : version)
+        : CommitResult.conflict(conflicts);
   }
 
   ObjectStore objects() {
--- a/node/src/main/java/dev/arbutusroad/node/claim/ClaimAttempt.java
+++ b/node/src/main/java/dev/arbutusroad/node/claim/ClaimAttempt.java
@@ -8,7 +8,7 @@
 import dev.arbutusroad.core.claim.ClaimStep;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.Write;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -80,10 +80,10 @@
             this::written);
   }
 
-  private void written(GroupCommit.Outcome outcome) {
+  private void written(GroupCommit.Outcome outcome, long version) {
     writing = false;
     switch (outcome) {
-      case APPLIED -> confirmed(expectedVersion + 1);
+      case APPLIED -> confirmed(version);
       case CONFLICT -> {
         sawConflict = true;
         if (finished) {
--- a/node/src/main/java/dev/arbutusroad/node/claim/ClaimPurger.java
+++ b/node/src/main/java/dev/arbutusroad/node/claim/ClaimPurger.java
@@ -2,10 +2,10 @@
 
 import dev.arbutusroad.core.claim.OrderKey;
 import dev.arbutusroad.core.result.Failure;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.TableService;
+import dev.arbutusroad.core.store.Write;
 import io.vavr.control.Either;
 import java.time.InstantSource;
 import java.util.List;
--- a/node/src/main/java/dev/arbutusroad/node/claim/ClaimsDuty.java
+++ b/node/src/main/java/dev/arbutusroad/node/claim/ClaimsDuty.java
@@ -2,8 +2,8 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.store.TableService;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.platform.TableService;
 import java.security.SecureRandom;
 import java.time.InstantSource;
 import java.util.Queue;
--- a/node/src/main/java/dev/arbutusroad/node/claim/GroupCommit.java
+++ b/node/src/main/java/dev/arbutusroad/node/claim/GroupCommit.java
@@ -2,9 +2,9 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.TableService;
+import dev.arbutusroad.core.store.Write;
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -17,7 +17,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 
 /**
  * Joins writes of different rows into one commit.
@@ -35,8 +34,11 @@
    */
   static final long RELAXED_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-  /** Bounds a commit's size together with {@link #MAX_VALUE_CHARS}. */
-  static final int MAX_ROWS = 64;
+  /**
+   * Bounds a commit's size together with {@link #MAX_VALUE_CHARS}: the platform takes 100 entries a
+   * commit, and each row counts twice, as its precondition and as its value.
+   */
+  static final int MAX_ROWS = 48;
 
   static final int MAX_VALUE_CHARS = 512 * 1024;
 
@@ -67,7 +69,18 @@
     NOT_APPLIED
   }
 
-  private record Entry(Write write, BooleanSupplier wanted, Consumer<Outcome> callback) {}
+  /** Told what became of a write. */
+  @FunctionalInterface
+  interface WriteCallback {
+    /**
+     * The write has ended.
+     *
+     * @param version the row's version if the write was applied, else 0
+     */
+    void ended(Outcome outcome, long version);
+  }
+
+  private record Entry(Write write, BooleanSupplier wanted, WriteCallback callback) {}
 
   GroupCommit(TableService table, EngineTimers timers, Executor owner, ClaimsCounters counters) {
     this.table = table;
@@ -84,7 +97,7 @@
    *     {@link #RELAXED_NANOS}
    * @param wanted whether it is still of use; asked just before it is sent
    */
-  void add(Write write, boolean urgent, BooleanSupplier wanted, Consumer<Outcome> callback) {
+  void add(Write write, boolean urgent, BooleanSupplier wanted, WriteCallback callback) {
     add(new Entry(write, wanted, callback), urgent);
   }
 
@@ -132,7 +145,7 @@
     int chars = 0;
     while (!pending.isEmpty() && batch.size() < MAX_ROWS) {
       if (!pending.peek().wanted().getAsBoolean()) {
-        end(List.of(pending.poll()), Outcome.NOT_APPLIED);
+        end(List.of(pending.poll()), Outcome.NOT_APPLIED, 0);
         continue;
       }
       chars += pending.peek().write().value().map(String::length).orElse(0);
@@ -156,10 +169,10 @@
   private void answered(List<Entry> batch, Either<Failure, CommitResult> outcome) {
     if (outcome.isLeft()) {
       boolean lost = outcome.getLeft().code() == ResultCode.PLATFORM_TIMEOUT;
-      end(batch, lost ? Outcome.LOST : Outcome.NOT_APPLIED);
+      end(batch, lost ? Outcome.LOST : Outcome.NOT_APPLIED, 0);
       endCommit();
     } else if (outcome.get().applied()) {
-      end(batch, Outcome.APPLIED);
+      end(batch, Outcome.APPLIED, outcome.get().version());
       endCommit();
     } else {
       split(batch, Set.copyOf(outcome.get().conflicts()));
@@ -181,7 +194,7 @@
       return;
     }
     counters.conflicts.add(Math.max(1, refused.size()));
-    end(refused.isEmpty() ? batch : refused, Outcome.CONFLICT);
+    end(refused.isEmpty() ? batch : refused, Outcome.CONFLICT, 0);
     if (refused.isEmpty() || rest.isEmpty()) {
       endCommit();
     } else {
@@ -196,7 +209,7 @@
     }
   }
 
-  private void end(List<Entry> entries, Outcome outcome) {
+  private void end(List<Entry> entries, Outcome outcome, long version) {
     for (Entry entry : entries) {
       String key = entry.write().key();
       busyKeys.remove(key);
@@ -208,7 +221,7 @@
         }
         add(first, true);
       }
-      entry.callback().accept(outcome);
+      entry.callback().ended(outcome, version);
     }
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/claim/Settler.java
+++ b/node/src/main/java/dev/arbutusroad/node/claim/Settler.java
@@ -6,7 +6,7 @@
 import dev.arbutusroad.core.claim.ClaimState;
 import dev.arbutusroad.core.claim.RecordedAnswer;
 import dev.arbutusroad.core.claim.SettleStep;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.Write;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -126,7 +126,7 @@
         write,
         settlement.row.state() == ClaimState.RELEASED,
         () -> true,
-        outcome -> {
+        (outcome, version) -> {
           switch (outcome) {
             case APPLIED -> finish(settlement);
             case NOT_APPLIED -> later(settlement, true);
--- a/node/src/main/java/dev/arbutusroad/node/configuration/ConfigurationDuty.java
+++ b/node/src/main/java/dev/arbutusroad/node/configuration/ConfigurationDuty.java
@@ -2,15 +2,14 @@
 
 import dev.arbutusroad.core.config.Configuration;
 import dev.arbutusroad.core.config.ConfigurationHolder;
-import dev.arbutusroad.core.config.ConfigurationParser;
 import dev.arbutusroad.core.config.ConfigurationTracker;
 import dev.arbutusroad.core.result.Failure;
+import dev.arbutusroad.core.store.VersionEntry;
+import dev.arbutusroad.core.store.VersionSource;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.membership.ConfigurationSink;
 import dev.arbutusroad.node.membership.ConfigurationSource;
 import dev.arbutusroad.node.membership.PeerDocument;
-import dev.arbutusroad.platform.config.ConfigurationStore;
-import dev.arbutusroad.platform.config.VersionEntry;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -36,7 +35,7 @@
   private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long STOP_LIMIT_MILLIS = 2_000;
 
-  private final ConfigurationStore store;
+  private final VersionSource store;
   private final PeerDocuments peers;
   private final Ticker ticker;
   private final IntSupplier members;
@@ -61,7 +60,7 @@
    */
   public ConfigurationDuty(
       ConfigurationHolder holder,
-      ConfigurationStore store,
+      VersionSource store,
       PeerDocuments peers,
       Ticker ticker,
       RandomGenerator random,
@@ -168,7 +167,7 @@
     }
     long confirmedAt = confirmedAt(sentAt, document.mark().confirmationAgeMillis());
     Either<Failure, Configuration> parsed =
-        ConfigurationParser.parse("version " + version, document.document(), version);
+        store.format().parse("version " + version, document.document(), version);
     if (parsed.isLeft()) {
       rejected(version, parsed.getLeft());
     } else if (tracker.peerConfiguration(parsed.get(), confirmedAt)) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusHeaders.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusHeaders.java
@@ -61,8 +61,12 @@
 
   /** Reads a header as a number that is not negative; empty if it is absent or malformed. */
   static Optional<Long> number(HttpHeaders headers, String name) {
-    CharSequence value = headers.get(name);
-    if (value == null || value.length() == 0 || value.length() > 15) {
+    return text(headers, name).flatMap(ArbutusHeaders::parseNumber);
+  }
+
+  /** Reads a number that is not negative; empty if it is malformed. */
+  static Optional<Long> parseNumber(String value) {
+    if (value.isEmpty() || value.length() > 15) {
       return Optional.empty();
     }
     for (int i = 0; i < value.length(); i++) {
@@ -70,7 +74,7 @@
         return Optional.empty();
       }
     }
-    return Optional.of(Long.parseLong(value.toString()));
+    return Optional.of(Long.parseLong(value));
   }
 
   /** Removes every header of the system, so that only what a node sets itself is passed on. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ClientAbort.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ClientAbort.java
@@ -20,8 +20,13 @@
  * the library reports that close at once; its calls end by their deadline.
  */
 final class ClientAbort {
+  private final Answers answers;
   private boolean draining;
 
+  ClientAbort(Answers answers) {
+    this.answers = answers;
+  }
+
   /** From now on connections are closed by this node, which must cancel nothing. */
   void drain() {
     draining = true;
@@ -50,7 +55,7 @@
       return Single.never();
     }
     Failure failure = new Failure(ResultCode.OUTCOME_UNKNOWN, "the caller closed the connection");
-    return Single.succeeded(Answers.failure(factory, failure));
+    return Single.succeeded(answers.failure(factory, failure));
   }
 
   private static boolean isLastOfConnection(StreamingHttpRequest request) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -1,11 +1,13 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.edge.TargetReport;
 import dev.arbutusroad.core.fatal.FatalEntry;
 import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.retry.RetryAdvice;
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.claim.Claims;
@@ -24,9 +26,11 @@
 /** The data path of one node: its gate, its exit and the state that they share. */
 public final class DataPath implements AutoCloseable {
   private final EventLoopGuard guard = new EventLoopGuard();
-  private final TargetLease lease = new TargetLease();
+  private final TargetLease lease;
+  private final Answers answers;
+  private final DataPathOptions options;
   private final CallTracker tracker = new CallTracker();
-  private final ClientAbort abort = new ClientAbort();
+  private final ClientAbort abort;
   private final Ticker ticker;
   private final TargetListener listener;
   private final ContextCodec codec;
@@ -38,7 +42,7 @@
   private final Exit exit;
   private final NewerPolicy newerPolicy;
   private final NodeDuties duties;
-  private boolean draining;
+  private volatile boolean draining;
 
   /**
    * Creates the data path.
@@ -56,11 +60,15 @@
       NodeDuties duties,
       Claims claims,
       Ticker ticker) {
+    this.options = options;
     this.ticker = ticker;
     this.listener = listener;
     this.duties = duties;
     SecureRandom tokens = new SecureRandom();
     SplittableRandom random = new SplittableRandom(tokens.nextLong());
+    answers = new Answers(options.protocol(), new RetryAdvice(random.split()));
+    lease = new TargetLease(options.targetLeaseMillis());
+    abort = new ClientAbort(answers);
     codec = new ContextCodec(options.sharedSecret());
     connections = new HttpConnections(ticker);
     targets =
@@ -73,12 +81,24 @@
             lease,
             inbound,
             hop,
-            new OrderRuns(claims, ticker),
+            new OrderRuns(claims, ticker, answers),
             ticker,
             this::targetLost,
-            overload.admission());
+            overload.admission(),
+            answers,
+            options.protocol());
     exit =
-        new Exit(policies, members, targets, hop, codec, ticker, random.split(), overload, duties);
+        new Exit(
+            policies,
+            members,
+            targets,
+            hop,
+            codec,
+            ticker,
+            random.split(),
+            overload,
+            duties,
+            answers);
     newerPolicy = new NewerPolicy(policies, duties);
   }
 
@@ -95,7 +115,7 @@
 
   private Single<StreamingHttpResponse> caller(
       StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
-    ReceivedCall call = ReceivedCall.of(request, factory);
+    ReceivedCall call = ReceivedCall.of(request, factory, options.protocol());
     HopByHopHeaders.remove(request.headers());
     Optional<CallContext> context = call.context().flatMap(codec::decode);
     if (duties.isMemberViewStale()) {
@@ -104,7 +124,7 @@
     if (context.isPresent()) {
       return tracker.track(gate.handle(call, newerPolicy.apply(call, context.orElseThrow())));
     }
-    return tracker.track(exit.handle(call, CallAttributes.EXTERNAL, Optional.empty()));
+    return tracker.track(exit.handle(call, CallAttributes.EXTERNAL, true, Optional.empty()));
   }
 
   /** Tells a client that this node stops: a connection that it opens later may be reset. */
@@ -114,15 +134,20 @@
   }
 
   /** The answer of a node that was paused: it does not know who has taken over from it. */
-  private static StreamingHttpResponse paused(
+  private StreamingHttpResponse paused(
       StreamingHttpResponseFactory factory, Optional<CallContext> context) {
     Failure failure = new Failure(ResultCode.NOT_READY, "the node was paused and rejoins");
-    StreamingHttpResponse response = Answers.failure(factory, failure);
+    StreamingHttpResponse response = answers.failure(factory, failure);
     context.ifPresent(
         from -> response.headers().set(ArbutusHeaders.UNUSED, Integer.toString(from.grant())));
     return response;
   }
 
+  /** Makes the answers of this node. */
+  Answers answers() {
+    return answers;
+  }
+
   /** Handles a call that the local target makes. */
   public Single<StreamingHttpResponse> handleExit(
       HttpServiceContext connection,
@@ -134,15 +159,19 @@
 
   private Single<StreamingHttpResponse> exit(
       StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
-    ReceivedCall call = ReceivedCall.of(request, factory);
+    ReceivedCall call = ReceivedCall.of(request, factory, options.protocol());
     HopByHopHeaders.remove(request.headers());
+    if (!options.protocol().passesTokens()) {
+      String caller = options.callerService().orElse(CallAttributes.EXTERNAL);
+      return tracker.track(exit.handle(call, caller, true, Optional.empty()));
+    }
     Optional<LocalTarget> target = lease.target();
     if (target.isEmpty()) {
       Failure failure = new Failure(ResultCode.NOT_READY, "announce the target before calling");
-      return Single.succeeded(Answers.failure(factory, failure));
+      return Single.succeeded(answers.failure(factory, failure));
     }
     Optional<InboundCall> parent = call.token().flatMap(inbound::find);
-    return tracker.track(exit.handle(call, target.orElseThrow().service(), parent));
+    return tracker.track(exit.handle(call, target.orElseThrow().service(), false, parent));
   }
 
   /** The local target announces itself or renews its announcement. */
@@ -153,6 +182,28 @@
     }
   }
 
+  /** Takes in a report of the local target. */
+  public void report(TargetReport report) {
+    guard.check();
+    switch (lease.report(report, ticker.nanos())) {
+      case SERVING -> {
+        overload.announceSlots(report.slots());
+        listener.serving(report.service());
+      }
+      case LEAVING -> listener.leaving();
+      case UNCHANGED -> overload.announceSlots(report.slots());
+      case OUTDATED -> {}
+    }
+  }
+
+  /** The target of this id leaves without having reported so. */
+  public void left(String instance) {
+    guard.check();
+    if (lease.left(instance)) {
+      listener.leaving();
+    }
+  }
+
   /** The local target leaves: no new calls, those in progress finish. */
   public void leave() {
     guard.check();
@@ -168,6 +219,11 @@
     abort.drain();
   }
 
+  /** Whether the node has been told to leave. */
+  public boolean isDraining() {
+    return draining;
+  }
+
   /** Calls received and not answered to the last byte. */
   public int callsInProgress() {
     guard.check();
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
@@ -1,6 +1,9 @@
 package dev.arbutusroad.node.datapath;
 
+import dev.arbutusroad.core.edge.CallProtocol;
+import dev.arbutusroad.core.settings.Limits;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * What the data path needs to know of its node.
@@ -9,14 +12,38 @@
  * @param region the region of the host
  * @param failureDomain the failure domain of the host
  * @param sharedSecret the installation's secret, known to its nodes only
+ * @param targetLeaseMillis how long a target that does not renew its announcement is believed
+ * @param protocol how callers and targets state the terms of a call
+ * @param callerService the service of calls on the exit listener, if targets pass no tokens
  */
 public record DataPathOptions(
-    String memberId, String region, String failureDomain, String sharedSecret) {
+    String memberId,
+    String region,
+    String failureDomain,
+    String sharedSecret,
+    long targetLeaseMillis,
+    CallProtocol protocol,
+    Optional<String> callerService) {
   public DataPathOptions {
     Objects.requireNonNull(memberId, "memberId");
     Objects.requireNonNull(region, "region");
     Objects.requireNonNull(failureDomain, "failureDomain");
     Objects.requireNonNull(sharedSecret, "sharedSecret");
+    Objects.requireNonNull(protocol, "protocol");
+    Objects.requireNonNull(callerService, "callerService");
+  }
+
+  /** The options of a node that speaks the product's own interface. */
+  public DataPathOptions(
+      String memberId, String region, String failureDomain, String sharedSecret) {
+    this(
+        memberId,
+        region,
+        failureDomain,
+        sharedSecret,
+        Limits.defaults().targetLeaseMillis(),
+        new ArbutusProtocol(),
+        Optional.empty());
   }
 
   @Override
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -44,6 +44,7 @@
   private final RandomGenerator random;
   private final OverloadControl overload;
   private final NodeDuties duties;
+  private final Answers answers;
 
   Exit(
       Supplier<Optional<PolicyResolver>> policies,
@@ -54,7 +55,8 @@
       Ticker ticker,
       RandomGenerator random,
       OverloadControl overload,
-      NodeDuties duties) {
+      NodeDuties duties,
+      Answers answers) {
     this.policies = policies;
     this.members = members;
     this.targets = targets;
@@ -64,20 +66,27 @@
     this.random = random;
     this.overload = overload;
     this.duties = duties;
+    this.answers = answers;
   }
 
   /**
    * Sends a call.
    *
    * @param caller the service of the local target, or {@code external} for a client
+   * @param original whether the call is a request of its own, not one made for {@code parent}
    * @param parent the call that the target is serving; empty for an original request
    */
   Single<StreamingHttpResponse> handle(
-      ReceivedCall received, String caller, Optional<InboundCall> parent) {
+      ReceivedCall unrouted, String caller, boolean original, Optional<InboundCall> parent) {
     Optional<PolicyResolver> resolver = policies.get();
     if (resolver.isEmpty()) {
-      return refuse(received, Failure.of(ResultCode.NO_CONFIGURATION));
+      return refuse(unrouted, Failure.of(ResultCode.NO_CONFIGURATION));
     }
+    Optional<ReceivedCall> routed = route(unrouted, resolver.orElseThrow());
+    if (routed.isEmpty()) {
+      return refuse(unrouted, Failure.of(ResultCode.NO_ROUTE));
+    }
+    ReceivedCall received = routed.orElseThrow();
     if (received.service().isEmpty()) {
       return refuse(received, new Failure(ResultCode.BAD_REQUEST, "the request names no service"));
     }
@@ -85,7 +94,20 @@
       return refuse(received, new Failure(ResultCode.BAD_REQUEST, "calls are nested too deep"));
     }
     return RequestBody.of(received.request())
-        .flatMap(body -> begin(open(received, caller, parent, resolver.orElseThrow(), body)));
+        .flatMap(
+            body -> begin(open(received, caller, original, parent, resolver.orElseThrow(), body)));
+  }
+
+  /** Finds where a call goes; empty if there are routes and none fits. */
+  private Optional<ReceivedCall> route(ReceivedCall received, PolicyResolver resolver) {
+    if (resolver.routes().isEmpty()) {
+      return Optional.of(received);
+    }
+    return resolver
+        .routes()
+        .orElseThrow()
+        .find(received.host(), received.request().rawPath())
+        .map(route -> received.along(route, route.draw(random)));
   }
 
   private Single<StreamingHttpResponse> begin(OutgoingCall call) {
@@ -102,20 +124,20 @@
   private OutgoingCall open(
       ReceivedCall received,
       String caller,
+      boolean original,
       Optional<InboundCall> parent,
       PolicyResolver resolver,
       RequestBody body) {
     CallAttributes attributes = received.attributes(caller);
     CallPolicy policy = resolver.resolve(attributes);
     long deadlineNanos = deadline(received, policy, parent);
-    boolean external = caller.equals(CallAttributes.EXTERNAL);
     CallContext template =
         new CallContext(
             parent.map(call -> call.context().originId()).orElseGet(random::nextLong),
             policy.kind(),
-            parent.map(call -> call.context().importance()).orElse(importance(policy, external)),
+            parent.map(call -> call.context().importance()).orElse(importance(policy, original)),
             policy.unrepeatable(),
-            external ? policy.retryAllowance() : 0,
+            original ? policy.retryAllowance() : 0,
             0,
             caller,
             parent.map(call -> call.context().depth() + 1).orElse(1),
@@ -125,9 +147,9 @@
   }
 
   /** A target's call without a context is background work unless a rule gives its importance. */
-  private static int importance(CallPolicy policy, boolean external) {
+  private static int importance(CallPolicy policy, boolean original) {
     boolean byDefault = policy.kind().equals(CallPolicy.DEFAULT_KIND);
-    return external || !byDefault
+    return original || !byDefault
         ? policy.importance()
         : Math.min(policy.importance(), CallPolicy.NORMAL_IMPORTANCE - 1);
   }
@@ -225,9 +247,8 @@
             describe(call, failure.code()), call.parent().allowance(), call.received().service());
     boolean stop = decision.action() == RetryDecision.Action.STOP;
     if (stop && failure.code() != ResultCode.TARGET_DIED) {
-      return answer
-          .map(response -> Single.succeeded(clean(response)))
-          .orElseGet(() -> refuse(call.received(), failure));
+      answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
+      return refuse(call.received(), failure);
     }
     answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
     if (stop) {
@@ -292,7 +313,7 @@
         .map(number -> CODES.get(Integer.valueOf(number)));
   }
 
-  private static Single<StreamingHttpResponse> refuse(ReceivedCall received, Failure failure) {
-    return Single.succeeded(Answers.failure(received.factory(), failure));
+  private Single<StreamingHttpResponse> refuse(ReceivedCall received, Failure failure) {
+    return Single.succeeded(answers.failure(received.factory(), failure));
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ExitService.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ExitService.java
@@ -49,16 +49,18 @@
             body ->
                 AnnouncementCodec.decode(body.toString())
                     .fold(
-                        failure -> Answers.failure(factory, failure),
+                        failure -> dataPath.answers().failure(factory, failure),
                         target -> accept(target, factory)))
         .onErrorReturn(
             OversizedAnnouncementException.class,
             error ->
-                Answers.failure(
-                    factory,
-                    new Failure(
-                        ResultCode.BAD_REQUEST,
-                        "an announcement has at most " + MAX_ANNOUNCEMENT_BYTES + " bytes")));
+                dataPath
+                    .answers()
+                    .failure(
+                        factory,
+                        new Failure(
+                            ResultCode.BAD_REQUEST,
+                            "an announcement has at most " + MAX_ANNOUNCEMENT_BYTES + " bytes")));
   }
 
   private static StringBuilder append(StringBuilder all, Buffer part) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
@@ -1,6 +1,9 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.admission.AdmissionLevel;
+import dev.arbutusroad.core.edge.AnswerVerdict;
+import dev.arbutusroad.core.edge.CallProtocol;
+import dev.arbutusroad.core.edge.TargetCall;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.time.Ticker;
@@ -14,8 +17,6 @@
 
 /** Takes calls from other nodes and runs them on the local target. */
 final class Gate {
-  private static final int SERVICE_UNAVAILABLE = 503;
-
   private final TargetLease lease;
   private final InboundCalls inbound;
   private final Hop hop;
@@ -23,6 +24,8 @@
   private final Ticker ticker;
   private final Runnable targetLost;
   private final GateAdmission admission;
+  private final Answers answers;
+  private final CallProtocol protocol;
   private boolean closed;
 
   Gate(
@@ -32,7 +35,11 @@
       OrderRuns orders,
       Ticker ticker,
       Runnable targetLost,
-      GateAdmission admission) {
+      GateAdmission admission,
+      Answers answers,
+      CallProtocol protocol) {
+    this.answers = answers;
+    this.protocol = protocol;
     this.admission = admission;
     this.lease = lease;
     this.inbound = inbound;
@@ -141,7 +148,7 @@
     return hop.send(
             target.address(),
             call.request(),
-            headers -> addTargetHeaders(headers, call, inboundCall, remaining),
+            headers -> addTargetHeaders(headers, call, target, inboundCall, remaining),
             body,
             remaining,
             ResultCode.TARGET_DIED)
@@ -149,10 +156,19 @@
         .beforeCancel(() -> inbound.end(inboundCall));
   }
 
-  private static void addTargetHeaders(
-      HttpHeaders headers, ReceivedCall call, InboundCall inboundCall, Duration remaining) {
-    headers.set(ArbutusHeaders.CALL, inboundCall.token());
-    headers.set(ArbutusHeaders.DEADLINE_MILLIS, Long.toString(remaining.toMillis()));
+  private void addTargetHeaders(
+      HttpHeaders headers,
+      ReceivedCall call,
+      LocalTarget target,
+      InboundCall inboundCall,
+      Duration remaining) {
+    protocol.describe(
+        new StreamingHeaderFields(headers),
+        new TargetCall(
+            target.instance(),
+            inboundCall.context().caller(),
+            remaining.toMillis(),
+            inboundCall.token()));
     call.orderKey().ifPresent(key -> headers.set(ArbutusHeaders.ORDER_KEY, key));
   }
 
@@ -165,11 +181,9 @@
       return failure(call, inboundCall, failed.failure());
     }
     StreamingHttpResponse response = ((HopOutcome.Answered) outcome).response();
-    if (isRefusedByTarget(response)) {
-      inbound.end(inboundCall);
-      slot.overloaded();
-      response.payloadBody().ignoreElements().subscribe();
-      return failure(call, inboundCall, Failure.of(ResultCode.TARGET_REFUSED));
+    Optional<ResultCode> rejected = rejection(call, response);
+    if (rejected.isPresent()) {
+      return reject(call, inboundCall, slot, response, rejected.orElseThrow());
     }
     ArbutusHeaders.removeAll(response.headers());
     HopByHopHeaders.remove(response.headers());
@@ -198,20 +212,51 @@
     }
   }
 
-  private static boolean isRefusedByTarget(StreamingHttpResponse response) {
-    return response.status().code() == SERVICE_UNAVAILABLE
-        && response.headers().contains(ArbutusHeaders.NOT_RUN, "true");
+  /** Why an answer of the target must not be passed on; empty if it may be. */
+  private Optional<ResultCode> rejection(ReceivedCall call, StreamingHttpResponse response) {
+    AnswerVerdict verdict =
+        protocol.judge(
+            new StreamingHeaderFields(call.request().headers()),
+            response.status().code(),
+            new StreamingHeaderFields(response.headers()));
+    return switch (verdict) {
+      case ANSWER -> Optional.empty();
+      case NOT_RUN -> Optional.of(ResultCode.TARGET_REFUSED);
+      case OTHER_TARGET -> Optional.of(ResultCode.NOT_READY);
+      case UNUSABLE -> Optional.of(ResultCode.OUTCOME_UNKNOWN);
+    };
+  }
+
+  private StreamingHttpResponse reject(
+      ReceivedCall call,
+      InboundCall inboundCall,
+      GateAdmission.Slot slot,
+      StreamingHttpResponse response,
+      ResultCode code) {
+    inbound.end(inboundCall);
+    if (code == ResultCode.TARGET_REFUSED) {
+      slot.overloaded();
+    } else {
+      slot.abandoned();
+    }
+    if (code == ResultCode.OUTCOME_UNKNOWN) {
+      // Later bytes on this connection would be taken for the answer to another request.
+      response.payloadBody().ignoreElements().subscribe().cancel();
+    } else {
+      response.payloadBody().ignoreElements().subscribe();
+    }
+    return failure(call, inboundCall, Failure.of(code));
   }
 
   private StreamingHttpResponse failure(
       ReceivedCall call, InboundCall inboundCall, Failure failure) {
-    StreamingHttpResponse response = Answers.failure(call.factory(), failure);
+    StreamingHttpResponse response = answers.failure(call.factory(), failure);
     addNodeHeaders(response, inboundCall.allowance().close(), inboundCall.level());
     return response;
   }
 
   private StreamingHttpResponse refuse(ReceivedCall call, CallContext context, Failure failure) {
-    StreamingHttpResponse response = Answers.failure(call.factory(), failure);
+    StreamingHttpResponse response = answers.failure(call.factory(), failure);
     addNodeHeaders(response, context.grant(), AdmissionLevel.OPEN);
     return response;
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OrderRuns.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OrderRuns.java
@@ -34,10 +34,12 @@
 
   private final Claims claims;
   private final Ticker ticker;
+  private final Answers answers;
 
-  OrderRuns(Claims claims, Ticker ticker) {
+  OrderRuns(Claims claims, Ticker ticker, Answers answers) {
     this.claims = claims;
     this.ticker = ticker;
+    this.answers = answers;
   }
 
   /** Whether a call has to be claimed before it runs. */
@@ -117,9 +119,8 @@
     return response;
   }
 
-  private static StreamingHttpResponse failure(
-      ReceivedCall call, CallContext context, Failure failure) {
-    StreamingHttpResponse response = Answers.failure(call.factory(), failure);
+  private StreamingHttpResponse failure(ReceivedCall call, CallContext context, Failure failure) {
+    StreamingHttpResponse response = answers.failure(call.factory(), failure);
     response.headers().set(ArbutusHeaders.UNUSED, Integer.toString(context.grant()));
     return response;
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -2,6 +2,7 @@
 
 import dev.arbutusroad.core.admission.AdmissionController;
 import dev.arbutusroad.core.admission.AdmissionLevel;
+import dev.arbutusroad.core.admission.AnnouncedLimit;
 import dev.arbutusroad.core.admission.LevelTable;
 import dev.arbutusroad.core.admission.ProbingLimit;
 import dev.arbutusroad.core.fatal.FatalEntry;
@@ -32,6 +33,7 @@
   private static final long PUBLISH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final Ticker ticker;
+  private final AnnouncedLimit limit = new AnnouncedLimit(new ProbingLimit());
   private final AdmissionController controller;
   private final FatalRequests fatal = new FatalRequests();
   private final GateAdmission admission;
@@ -46,8 +48,7 @@
   OverloadControl(Ticker ticker, RandomGenerator random) {
     this.ticker = ticker;
     controller =
-        new AdmissionController(
-            new ProbingLimit(), AdmissionController.DEFAULT_QUEUE_CAPACITY, ticker.nanos());
+        new AdmissionController(limit, AdmissionController.DEFAULT_QUEUE_CAPACITY, ticker.nanos());
     admission = new GateAdmission(controller, fatal, ticker);
     rules = new RetryRules(new Backoff(random));
     published = state();
@@ -74,6 +75,11 @@
         new Failure(ResultCode.SHED, "refused by level " + level.format() + " of " + service));
   }
 
+  /** The local target has said how many calls it runs at once; 0 if it does not know. */
+  void announceSlots(int slots) {
+    limit.announce(slots);
+  }
+
   /** Whether a request is suspected of crashing its targets. */
   boolean isSuspect(Fingerprint fingerprint) {
     return fatal.isSuspect(fingerprint, ticker.nanos());
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
@@ -1,8 +1,11 @@
 package dev.arbutusroad.node.datapath;
 
+import dev.arbutusroad.core.edge.CallProtocol;
+import dev.arbutusroad.core.edge.CallerTerms;
 import dev.arbutusroad.core.fatal.Fingerprint;
 import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.label.Labels;
+import dev.arbutusroad.core.route.Route;
 import io.servicetalk.http.api.HttpHeaderNames;
 import io.servicetalk.http.api.HttpHeaders;
 import io.servicetalk.http.api.StreamingHttpRequest;
@@ -18,6 +21,7 @@
  * @param request the request; its headers hold only what may be passed on
  * @param factory makes answers on the connection of the request
  * @param service the destination service, empty if the request names none
+ * @param requestId identifies the caller's attempt in logs
  * @param labels the labels sent with the request
  * @param orderKey the caller's key of an unrepeatable order
  * @param deadlineMillis the caller's own time limit
@@ -27,6 +31,7 @@
 record ReceivedCall(
     StreamingHttpRequest request,
     StreamingHttpResponseFactory factory,
+    Optional<String> requestId,
     String service,
     Labels labels,
     Optional<String> orderKey,
@@ -37,16 +42,49 @@
   private static final int MAX_LABEL_LENGTH = 256;
 
   /** Reads the system's headers and removes them and the hop-by-hop headers from the request. */
-  static ReceivedCall of(StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
+  static ReceivedCall of(
+      StreamingHttpRequest request, StreamingHttpResponseFactory factory, CallProtocol protocol) {
     HttpHeaders headers = request.headers();
     String service = service(headers);
     Labels labels = labels(headers);
-    Optional<String> orderKey = ArbutusHeaders.text(headers, ArbutusHeaders.ORDER_KEY);
-    Optional<Long> deadline = ArbutusHeaders.number(headers, ArbutusHeaders.DEADLINE_MILLIS);
+    CallerTerms terms = protocol.terms(new StreamingHeaderFields(headers));
     Optional<String> token = ArbutusHeaders.text(headers, ArbutusHeaders.CALL);
     Optional<String> context = ArbutusHeaders.text(headers, ArbutusHeaders.CONTEXT);
     ArbutusHeaders.removeAll(headers);
-    return new ReceivedCall(request, factory, service, labels, orderKey, deadline, token, context);
+    return new ReceivedCall(
+        request,
+        factory,
+        terms.requestId(),
+        service,
+        labels,
+        terms.orderKey(),
+        terms.deadlineMillis(),
+        token,
+        context);
+  }
+
+  /** This call sent along a route, whose labels replace those of the caller. */
+  ReceivedCall along(Route route, String destination) {
+    return new ReceivedCall(
+        request,
+        factory,
+        requestId,
+        destination,
+        route.labels(),
+        orderKey,
+        deadlineMillis,
+        token,
+        context);
+  }
+
+  /** The host that the caller named; empty if it named none. */
+  String host() {
+    return ArbutusHeaders.text(request.headers(), HttpHeaderNames.HOST.toString()).orElse("");
+  }
+
+  /** The id of the request in logs. */
+  String id() {
+    return requestId.orElse("-");
   }
 
   /** What selectors see of the call. */
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/StreamingHeaderFields.java
@@ -0,0 +1,28 @@
+package dev.arbutusroad.node.datapath;
+
+import dev.arbutusroad.core.edge.HeaderFields;
+import io.servicetalk.http.api.HttpHeaders;
+import java.util.Objects;
+import java.util.Optional;
+
+/** The header fields of a ServiceTalk message. */
+record StreamingHeaderFields(HttpHeaders headers) implements HeaderFields {
+  StreamingHeaderFields {
+    Objects.requireNonNull(headers, "headers");
+  }
+
+  @Override
+  public Optional<String> first(String name) {
+    return ArbutusHeaders.text(headers, name);
+  }
+
+  @Override
+  public void set(String name, String value) {
+    headers.set(name, value);
+  }
+
+  @Override
+  public void remove(String name) {
+    headers.remove(name);
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/datapath/TargetLease.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetLease.java
@@ -1,5 +1,6 @@
 package dev.arbutusroad.node.datapath;
 
+import dev.arbutusroad.core.edge.TargetReport;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -9,12 +10,18 @@
  * <p>A target that stops renewing without leaving is taken as dead. Owned by the data path.
  */
 final class TargetLease {
-  /** Three announcements, one a second, may be late or lost before the target is taken as dead. */
-  static final long DURATION_NANOS = TimeUnit.SECONDS.toNanos(3);
-
+  private final long durationNanos;
   private Optional<LocalTarget> target = Optional.empty();
   private long renewedNanos;
   private boolean leaving;
+  private String instance = "";
+  private long startedMillis = Long.MIN_VALUE;
+  private long sequence;
+  private boolean ended;
+
+  TargetLease(long durationMillis) {
+    durationNanos = TimeUnit.MILLISECONDS.toNanos(durationMillis);
+  }
 
   /**
    * Starts or renews the lease.
@@ -29,6 +36,64 @@
     return isNew;
   }
 
+  /** What a report has changed. */
+  enum Change {
+    /** A target takes calls that did not before. */
+    SERVING,
+    /** The target takes no new calls any more. */
+    LEAVING,
+    /** The lease is renewed. */
+    UNCHANGED,
+    /** The report is older than what is known; it changes nothing. */
+    OUTDATED
+  }
+
+  /** Takes in a report; an earlier start, or an earlier report of the same start, is outdated. */
+  Change report(TargetReport report, long nowNanos) {
+    boolean sameStart =
+        report.instance().equals(instance) && report.startedMillis() == startedMillis;
+    boolean outdated =
+        report.startedMillis() < startedMillis || (sameStart && report.sequence() <= sequence);
+    if (outdated || (sameStart && ended)) {
+      return Change.OUTDATED;
+    }
+    LocalTarget reported =
+        new LocalTarget(
+            report.instance(),
+            report.service(),
+            report.address(),
+            Optional.empty(),
+            Optional.empty());
+    boolean wasLeaving = leaving;
+    boolean wasKnown = sameStart && target.equals(Optional.of(reported));
+    instance = report.instance();
+    startedMillis = report.startedMillis();
+    sequence = report.sequence();
+    ended = false;
+    target = Optional.of(reported);
+    renewedNanos = nowNanos;
+    leaving = report.state() == TargetReport.State.LEAVING;
+    if (leaving) {
+      return wasKnown && wasLeaving ? Change.UNCHANGED : Change.LEAVING;
+    }
+    return wasKnown && !wasLeaving ? Change.UNCHANGED : Change.SERVING;
+  }
+
+  /**
+   * The target of this id has said that it leaves; later reports of that start are outdated.
+   *
+   * @return whether it was the local target and was not leaving before
+   */
+  boolean left(String leavingInstance) {
+    if (!leavingInstance.equals(instance) || ended) {
+      return false;
+    }
+    ended = true;
+    boolean isNew = !leaving;
+    leaving = true;
+    return isNew;
+  }
+
   /** Marks the target as leaving: it finishes its calls and gets no new ones. */
   void leave() {
     leaving = true;
@@ -45,7 +110,7 @@
    * @return whether the lease has ended by this call
    */
   boolean expire(long nowNanos) {
-    if (target.isEmpty() || leaving || nowNanos - renewedNanos < DURATION_NANOS) {
+    if (target.isEmpty() || leaving || nowNanos - renewedNanos < durationNanos) {
       return false;
     }
     target = Optional.empty();
--- a/node/src/main/java/dev/arbutusroad/node/membership/MembershipOptions.java
+++ b/node/src/main/java/dev/arbutusroad/node/membership/MembershipOptions.java
@@ -2,7 +2,7 @@
 
 import dev.arbutusroad.core.membership.Member;
 import dev.arbutusroad.core.settings.SharedSecret;
-import dev.arbutusroad.platform.TableService;
+import dev.arbutusroad.core.store.TableService;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
--- a/node/src/main/java/dev/arbutusroad/node/membership/SeedRows.java
+++ b/node/src/main/java/dev/arbutusroad/node/membership/SeedRows.java
@@ -4,10 +4,10 @@
 import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.membership.SeedRules;
 import dev.arbutusroad.core.result.Failure;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.TableService;
+import dev.arbutusroad.core.store.Write;
 import io.vavr.control.Either;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -129,12 +129,12 @@
     var unused =
         table
             .commit(List.of(write))
-            .thenAccept(result -> executor.accept(() -> takeCommit(key, version, result)));
+            .thenAccept(result -> executor.accept(() -> takeCommit(key, result)));
   }
 
-  private void takeCommit(String key, long version, Either<Failure, CommitResult> result) {
+  private void takeCommit(String key, Either<Failure, CommitResult> result) {
     if (result.isRight() && result.get().applied()) {
-      versions.put(key, version + 1);
+      versions.put(key, result.get().version());
       return;
     }
     // A lost answer or another writer: the version is read again at the next attempt.
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -2,18 +2,25 @@
 
 import dev.arbutusroad.core.config.ConfigurationHolder;
 import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.edge.AnnouncementProtocol;
+import dev.arbutusroad.core.edge.Deployment;
 import dev.arbutusroad.core.membership.Member;
 import dev.arbutusroad.core.membership.MemberState;
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.resource.Closer;
 import dev.arbutusroad.core.settings.NodeSettings;
+import dev.arbutusroad.core.store.PlatformClientSettings;
+import dev.arbutusroad.core.store.PlatformServices;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.admin.AdminService;
+import dev.arbutusroad.node.admin.ReadinessService;
 import dev.arbutusroad.node.claim.ClaimsDuty;
 import dev.arbutusroad.node.claim.ClaimsIdentity;
 import dev.arbutusroad.node.claim.ClaimsMetrics;
 import dev.arbutusroad.node.configuration.ConfigurationDuty;
 import dev.arbutusroad.node.configuration.ConfigurationMetrics;
+import dev.arbutusroad.node.configuration.ConfigurationWatch;
+import dev.arbutusroad.node.datapath.AnnouncementService;
 import dev.arbutusroad.node.datapath.CallerService;
 import dev.arbutusroad.node.datapath.DataPath;
 import dev.arbutusroad.node.datapath.DataPathOptions;
@@ -22,12 +29,11 @@
 import dev.arbutusroad.node.membership.MembershipDuty;
 import dev.arbutusroad.node.membership.MembershipMetrics;
 import dev.arbutusroad.node.membership.MembershipOptions;
-import dev.arbutusroad.platform.config.ConfigurationStore;
-import dev.arbutusroad.platform.http.HttpPlatformClient;
-import dev.arbutusroad.platform.http.PlatformClientSettings;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.servicetalk.concurrent.api.Executor;
+import io.servicetalk.http.api.StreamingHttpService;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.List;
@@ -54,24 +60,27 @@
   private static final long WRITE_LIMIT_MILLIS = 10_000;
 
   private final NodeSettings settings;
+  private final Deployment deployment;
   private final Closer closer = new Closer();
   private final Ticker ticker = Ticker.system();
   private final PrometheusRegistry metrics = new PrometheusRegistry();
-  private final HttpPlatformClient platform;
+  private final PlatformServices platform;
   private final MembershipDuty membership;
   private final ConfigurationDuty configuration;
   private final ClaimsDuty claims;
   private final DataPath dataPath;
   private final HttpListener caller;
   private final HttpListener exit;
+  private final Optional<HttpListener> announcements;
   private final Executor eventLoop;
   private volatile boolean closed;
 
-  private NodeProcess(NodeSettings settings) throws IOException {
+  private NodeProcess(NodeSettings settings, Deployment deployment) throws IOException {
     this.settings = settings;
+    this.deployment = deployment;
     platform =
         closer.register(
-            new HttpPlatformClient(
+            deployment.open(
                 settings.platform(),
                 PlatformClientSettings.DEFAULT.withOperationTimeoutMillis(
                     settings.limits().platformTimeoutMillis()),
@@ -91,8 +100,15 @@
     ClaimsMetrics.register(claims, metrics);
     dataPath = closer.register(createDataPath());
     caller = HttpListener.start(settings.listeners().caller(), new CallerService(dataPath));
-    exit = HttpListener.start(settings.listeners().exit(), new ExitService(dataPath));
+    StreamingHttpService exitService =
+        deployment.announcements().isPresent() ? dataPath::handleExit : new ExitService(dataPath);
+    exit = HttpListener.start(settings.listeners().exit(), exitService);
     eventLoop = caller.eventLoop();
+    announcements = startAnnouncements();
+    if (settings.listeners().readiness().isPresent()) {
+      HttpListener.start(
+          settings.listeners().readiness().orElseThrow(), new ReadinessService(this::isReady));
+    }
     NodeView view = new NodeView(settings.id(), configuration, membership, dataPath, claims);
     HttpListener.start(settings.listeners().admin(), new AdminService(view, metrics));
     dataPath.register(metrics);
@@ -100,6 +116,7 @@
         report ->
             eventLoop.execute(() -> dataPath.mergeFatal(List.of(FatalReports.entry(report)))));
     configuration.start();
+    deployment.configurationTable().ifPresent(this::watchConfiguration);
     eventLoop.execute(this::scheduleTick);
   }
 
@@ -108,8 +125,8 @@
    *
    * @throws IOException if an address can't be bound
    */
-  public static NodeProcess start(NodeSettings settings) throws IOException {
-    NodeProcess node = new NodeProcess(settings);
+  public static NodeProcess start(NodeSettings settings, Deployment deployment) throws IOException {
+    NodeProcess node = new NodeProcess(settings, deployment);
     Logger.info(
         "event=node_started node={} caller={} exit={} admin={}",
         settings.id(),
@@ -163,9 +180,29 @@
     closed = true;
     caller.close().subscribe();
     exit.close().subscribe();
+    announcements.ifPresent(listener -> listener.close().subscribe());
     closer.close();
   }
 
+  private Optional<HttpListener> startAnnouncements() throws IOException {
+    Optional<InetSocketAddress> address = settings.listeners().announcements();
+    Optional<AnnouncementProtocol> protocol = deployment.announcements();
+    return address.isPresent() && protocol.isPresent()
+        ? Optional.of(
+            HttpListener.start(
+                address.orElseThrow(), new AnnouncementService(dataPath, protocol.orElseThrow())))
+        : Optional.empty();
+  }
+
+  private void watchConfiguration(String table) {
+    closer.register(new ConfigurationWatch(platform, table, configuration::requestPoll)).start();
+  }
+
+  /** Whether the node takes new callers: it has rules, is not leaving and knows its peers. */
+  private boolean isReady() {
+    return configuration.isReady() && !dataPath.isDraining() && !membership.isStale();
+  }
+
   private MembershipDuty startMembership() throws IOException {
     String incarnationId = settings.id() + "-" + Long.toHexString(new SecureRandom().nextLong());
     Member self =
@@ -192,7 +229,7 @@
     SecureRandom random = new SecureRandom();
     return new ConfigurationDuty(
         new ConfigurationHolder(),
-        new ConfigurationStore(platform, platform.objects(), random),
+        deployment.versions(platform, random),
         membership::fetchDocument,
         ticker,
         random,
@@ -213,7 +250,10 @@
             membership.self().id(),
             settings.region(),
             settings.failureDomain(),
-            new String(settings.sharedSecret().bytes(), StandardCharsets.UTF_8));
+            new String(settings.sharedSecret().bytes(), StandardCharsets.UTF_8),
+            settings.limits().targetLeaseMillis(),
+            deployment.calls(),
+            settings.service());
     return new DataPath(
         options,
         this::policies,
--- a/node/src/main/java/dev/arbutusroad/node/process/PlatformMetricsExport.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/PlatformMetricsExport.java
@@ -1,7 +1,7 @@
 package dev.arbutusroad.node.process;
 
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.PlatformMetrics;
+import dev.arbutusroad.core.store.PlatformMetrics;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
--- a/node/src/test/java/dev/arbutusroad/node/claim/SimulatedStore.java
+++ b/node/src/test/java/dev/arbutusroad/node/claim/SimulatedStore.java
@@ -2,10 +2,10 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.TableService;
+import dev.arbutusroad.core.store.Write;
 import dev.arbutusroad.tools.platform.PlatformStore;
 import io.vavr.control.Either;
 import java.util.List;
@@ -56,17 +56,18 @@
 
   private CommitResult decide(List<Write> writes) {
     if (spuriousConflicts && simulation.chance(30)) {
-      return new CommitResult(
-          false, simulation.chance(50) ? List.of() : List.of(writes.get(0).key()));
+      return CommitResult.conflict(
+          simulation.chance(50) ? List.of() : List.of(writes.get(0).key()));
     }
     if (!ignorePreconditions) {
       return table.commit(writes);
     }
+    long version = 0;
     for (Write write : writes) {
-      long version = table.get(write.key(), 0).map(Row::version).orElse(Write.ABSENT);
-      table.commit(List.of(new Write(write.key(), write.value(), version)));
+      long expected = table.get(write.key(), 0).map(Row::version).orElse(Write.ABSENT);
+      version = table.commit(List.of(new Write(write.key(), write.value(), expected))).version();
     }
-    return new CommitResult(true, List.of());
+    return CommitResult.applied(version);
   }
 
   private <T> CompletableFuture<Either<Failure, T>> operation(boolean write, Supplier<T> effect) {
--- a/node/src/test/java/dev/arbutusroad/node/configuration/ConfigurationDutyTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/configuration/ConfigurationDutyTest.java
@@ -8,13 +8,13 @@
 import dev.arbutusroad.core.membership.ConfigurationMark;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.ConfigurationStore;
+import dev.arbutusroad.core.store.ObjectStore;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.TableService;
+import dev.arbutusroad.core.store.Write;
 import dev.arbutusroad.node.membership.PeerDocument;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.ObjectStore;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
-import dev.arbutusroad.platform.config.ConfigurationStore;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -160,7 +160,7 @@
           w ->
               rows.put(
                   w.key(), new Row(w.key(), w.value().orElseThrow(), w.expectedVersion() + 1)));
-      return answer(new CommitResult(true, List.of()));
+      return answer(CommitResult.applied(writes.get(0).expectedVersion() + 1));
     }
 
     ObjectStore objects() {
--- a/node/src/test/java/dev/arbutusroad/node/datapath/OrderRunsTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/OrderRunsTest.java
@@ -7,7 +7,7 @@
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.claim.ClaimsDuty;
 import dev.arbutusroad.node.claim.ClaimsIdentity;
-import dev.arbutusroad.platform.http.HttpPlatformClient;
+import dev.arbutusroad.platform.PlatformClient;
 import dev.arbutusroad.tools.platform.PlatformFault;
 import dev.arbutusroad.tools.platform.PlatformFault.Kind;
 import dev.arbutusroad.tools.platform.PlatformStandIn;
@@ -147,7 +147,7 @@
 
   /** An entry node and, behind it, a serving node with its own claims duty. */
   private InetSocketAddress node(RawTarget target, long deadlineMillis) throws Exception {
-    HttpPlatformClient store = closer.register(new HttpPlatformClient(platform.address()));
+    PlatformClient store = closer.register(new PlatformClient(platform.address()));
     ClaimsDuty claims =
         closer.register(ClaimsDuty.start(new ClaimsIdentity("node", 1), store, Ticker.system()));
     TwoNodes nodes =
--- a/node/src/test/java/dev/arbutusroad/node/membership/SeedRowsTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/membership/SeedRowsTest.java
@@ -8,10 +8,10 @@
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.TableService;
-import dev.arbutusroad.platform.Write;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.TableService;
+import dev.arbutusroad.core.store.Write;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -91,10 +91,10 @@
       Write write = writes.get(0);
       long version = Optional.ofNullable(rows.get(write.key())).map(Row::version).orElse(0L);
       if (version != write.expectedVersion()) {
-        return answer(new CommitResult(false, List.of(write.key())));
+        return answer(CommitResult.conflict(List.of(write.key())));
       }
       rows.put(write.key(), new Row(write.key(), write.value().orElseThrow(), version + 1));
-      return answer(new CommitResult(true, List.of()));
+      return answer(CommitResult.applied(version + 1));
     }
 
     private <T> CompletableFuture<Either<Failure, T>> answer(T value) {
--- a/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStandIn.java
+++ b/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStandIn.java
@@ -1,9 +1,10 @@
 package dev.arbutusroad.tools.platform;
 
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.Write;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.Write;
-import dev.arbutusroad.platform.http.PlatformJson;
+import dev.arbutusroad.platform.RowsJson;
 import dev.arbutusroad.tools.platform.PlatformFault.Kind;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -146,52 +147,68 @@
     if (read) {
       reads.incrementAndGet();
     }
-    if (path.equals(PlatformJson.COMMIT_PATH) && request.method().equals(HttpRequestMethod.POST)) {
-      return commit(PlatformJson.decodeWrites(body(request)), responses);
+    if (path.equals(RowsJson.COMMIT_PATH) && request.method().equals(HttpRequestMethod.POST)) {
+      return commit(RowsJson.decodeCommit(body(request)), responses);
     }
-    if (path.equals(PlatformJson.TABLE_PATH) && read) {
-      int limit =
-          Optional.ofNullable(request.queryParameter("limit"))
-              .map(Integer::valueOf)
-              .orElse(DEFAULT_SCAN_LIMIT);
-      String prefix = Optional.ofNullable(request.queryParameter("prefix")).orElse("");
-      return json(
-          responses.ok(), PlatformJson.encodeRows(store.scan(prefix, limit, readAgeNanos())));
+    if (path.equals(RowsJson.READ_PATH) && read) {
+      return rows(request, responses);
     }
-    if (path.startsWith(PlatformJson.ROW_PATH_PREFIX) && read) {
-      String key =
-          PlatformJson.decodeSegment(path.substring(PlatformJson.ROW_PATH_PREFIX.length()));
-      return store
-          .get(key, readAgeNanos())
-          .map(row -> json(responses.ok(), PlatformJson.encodeRow(row)))
-          .orElseGet(responses::notFound);
+    if (path.equals(RowsJson.FEED_PATH) && read) {
+      long after = Long.parseLong(request.queryParameter("after"));
+      String prefix = RowsJson.key(request.queryParameter("table"), "");
+      return json(
+          responses.ok(), RowsJson.encodeRows(store.changedAfter(prefix, after), store.version()));
     }
-    if (path.startsWith(PlatformJson.OBJECT_PATH_PREFIX)) {
+    if (path.startsWith(RowsJson.OBJECT_GET_PATH) || path.startsWith(RowsJson.OBJECT_PUT_PATH)) {
       return object(request, responses);
     }
     return responses.newResponse(HttpResponseStatus.METHOD_NOT_ALLOWED);
   }
 
+  private HttpResponse rows(HttpRequest request, HttpResponseFactory responses) {
+    String table = request.queryParameter("table");
+    String from = Optional.ofNullable(request.queryParameter("from")).orElse("");
+    Optional<String> to =
+        Optional.ofNullable(request.queryParameter("to")).map(end -> RowsJson.key(table, end));
+    int limit =
+        Optional.ofNullable(request.queryParameter("limit"))
+            .map(Integer::valueOf)
+            .orElse(DEFAULT_SCAN_LIMIT);
+    return json(
+        responses.ok(),
+        RowsJson.encodeRows(
+            store.range(RowsJson.key(table, from), to, limit, readAgeNanos()), store.version()));
+  }
+
   private HttpResponse commit(List<Write> batch, HttpResponseFactory responses) {
     commits.incrementAndGet();
-    CommitResult result =
-        batch.isEmpty() || faults.take(Kind.SPURIOUS_CONFLICT).isEmpty()
-            ? store.commit(batch)
-            : new CommitResult(false, List.of(batch.get(0).key()));
-    if (result.applied()) {
-      writes.addAndGet(batch.size());
-    } else {
-      conflicts.incrementAndGet();
+    if (!batch.isEmpty() && faults.take(Kind.SPURIOUS_CONFLICT).isPresent()) {
+      return refuse(List.of(batch.get(0).key()), responses, true);
+    }
+    CommitResult result = store.commit(batch);
+    if (!result.applied()) {
+      return refuse(batch.stream().map(Write::key).toList(), responses, false);
     }
+    writes.addAndGet(batch.size());
+    return json(responses.ok(), RowsJson.encodeRows(List.of(), result.version()));
+  }
+
+  /** The answer to a refused commit: the current rows, or rows that never were. */
+  private HttpResponse refuse(
+      List<String> keys, HttpResponseFactory responses, boolean isSpurious) {
+    conflicts.incrementAndGet();
+    List<Row> current =
+        isSpurious
+            ? keys.stream().map(key -> new Row(key, "?", Long.MAX_VALUE)).toList()
+            : keys.stream().flatMap(key -> store.get(key, 0).stream()).toList();
     return json(
-        result.applied() ? responses.ok() : responses.newResponse(HttpResponseStatus.CONFLICT),
-        PlatformJson.encodeCommitResult(result));
+        responses.newResponse(HttpResponseStatus.PRECONDITION_FAILED),
+        RowsJson.encodeConflict(current));
   }
 
   private HttpResponse object(HttpRequest request, HttpResponseFactory responses) {
-    String name =
-        PlatformJson.decodeSegment(
-            request.rawPath().substring(PlatformJson.OBJECT_PATH_PREFIX.length()));
+    String path = request.rawPath();
+    String name = RowsJson.decodeSegment(path.substring(path.indexOf('/', 1) + 1));
     if (isRead(request)) {
       return store
           .object(name)
@@ -200,7 +217,7 @@
     }
     writes.incrementAndGet();
     store.putObject(name, body(request));
-    return responses.noContent();
+    return responses.ok();
   }
 
   private long readAgeNanos() {
--- a/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStore.java
+++ b/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStore.java
@@ -1,11 +1,12 @@
 package dev.arbutusroad.tools.platform;
 
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.Write;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.Write;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -22,7 +23,10 @@
   private final TreeMap<String, Deque<State>> rows = new TreeMap<>();
   private final Map<String, byte[]> objects = new HashMap<>();
 
-  private record State(long sinceNanos, Optional<Row> row) {}
+  /** The version of the last commit; each commit raises it by one. */
+  private long version;
+
+  private record State(long sinceNanos, long version, Optional<Row> row) {}
 
   public PlatformStore(Ticker ticker) {
     this.ticker = ticker;
@@ -46,6 +50,20 @@
     return found;
   }
 
+  /** The rows from a key up to another one as they were {@code ageNanos} ago. */
+  public synchronized List<Row> range(String from, Optional<String> to, int limit, long ageNanos) {
+    String table = from.substring(0, from.indexOf('/') + 1);
+    List<Row> found = new ArrayList<>();
+    for (Map.Entry<String, Deque<State>> entry : rows.tailMap(from).entrySet()) {
+      boolean beyond = to.isPresent() && entry.getKey().compareTo(to.get()) >= 0;
+      if (beyond || !entry.getKey().startsWith(table) || found.size() >= limit) {
+        break;
+      }
+      at(entry.getValue(), ageNanos).ifPresent(found::add);
+    }
+    return found;
+  }
+
   /** Applies all writes if every precondition holds, else none. */
   public synchronized CommitResult commit(List<Write> writes) {
     List<String> conflicts = new ArrayList<>();
@@ -55,10 +73,29 @@
       }
     }
     if (!conflicts.isEmpty()) {
-      return new CommitResult(false, conflicts);
+      return CommitResult.conflict(conflicts);
     }
+    version++;
     writes.forEach(this::apply);
-    return new CommitResult(true, List.of());
+    return CommitResult.applied(version);
+  }
+
+  /** The version of the newest commit. */
+  public synchronized long version() {
+    return version;
+  }
+
+  /** The newest states of the rows of a table that changed after a version; deleted ones empty. */
+  public synchronized List<Row> changedAfter(String prefix, long after) {
+    List<Row> found = new ArrayList<>();
+    for (Map.Entry<String, Deque<State>> entry : rows.tailMap(prefix).entrySet()) {
+      State newest = entry.getValue().getLast();
+      if (entry.getKey().startsWith(prefix) && newest.version() > after) {
+        found.add(newest.row().orElse(new Row(entry.getKey(), "", newest.version())));
+      }
+    }
+    found.sort(Comparator.comparingLong(Row::version));
+    return found;
   }
 
   public synchronized void putObject(String name, byte[] content) {
@@ -70,10 +107,9 @@
   }
 
   private void apply(Write write) {
-    Optional<Row> row =
-        write.value().map(value -> new Row(write.key(), value, write.expectedVersion() + 1));
+    Optional<Row> row = write.value().map(value -> new Row(write.key(), value, version));
     Deque<State> states = rows.computeIfAbsent(write.key(), key -> new ArrayDeque<>());
-    states.addLast(new State(ticker.nanos(), row));
+    states.addLast(new State(ticker.nanos(), version, row));
     if (states.size() > KEPT_STATES) {
       states.removeFirst();
     }
--- a/tools/src/test/java/dev/arbutusroad/tools/platform/PlatformStandInTest.java
+++ b/tools/src/test/java/dev/arbutusroad/tools/platform/PlatformStandInTest.java
@@ -4,14 +4,14 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.store.CommitResult;
+import dev.arbutusroad.core.store.PlatformClientSettings;
+import dev.arbutusroad.core.store.PlatformMetrics;
+import dev.arbutusroad.core.store.RepeatableCommit;
+import dev.arbutusroad.core.store.Row;
+import dev.arbutusroad.core.store.Write;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.platform.CommitResult;
-import dev.arbutusroad.platform.PlatformMetrics;
-import dev.arbutusroad.platform.RepeatableCommit;
-import dev.arbutusroad.platform.Row;
-import dev.arbutusroad.platform.Write;
-import dev.arbutusroad.platform.http.HttpPlatformClient;
-import dev.arbutusroad.platform.http.PlatformClientSettings;
+import dev.arbutusroad.platform.PlatformClient;
 import dev.arbutusroad.tools.platform.PlatformFault.Kind;
 import io.vavr.control.Either;
 import java.net.InetAddress;
@@ -34,13 +34,12 @@
   private static final String KEY = "claim/t 1/ä%+";
 
   private PlatformStandIn standIn;
-  private HttpPlatformClient client;
+  private PlatformClient client;
 
   @BeforeEach
   void start() throws Exception {
     standIn = PlatformStandIn.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    client =
-        new HttpPlatformClient(standIn.address(), SETTINGS, PlatformMetrics.NONE, Ticker.system());
+    client = new PlatformClient(standIn.address(), SETTINGS, PlatformMetrics.NONE, Ticker.system());
   }
 
   @AfterEach
@@ -54,7 +53,7 @@
     assertThat(commit(Write.insert(KEY, "a"), Write.insert("z", "1")).get().applied()).isTrue();
     assertThat(client.get(KEY).join().get()).contains(new Row(KEY, "a", 1));
     CommitResult refused = commit(Write.replace(KEY, "b", 1), Write.insert("z", "2")).get();
-    assertThat(refused).isEqualTo(new CommitResult(false, List.of("z")));
+    assertThat(refused).isEqualTo(CommitResult.conflict(List.of("z")));
     assertThat(client.scan("claim/", 5).join().get()).containsExactly(new Row(KEY, "a", 1));
     assertThat(commit(new Write(KEY, Optional.empty(), 1)).get().applied()).isTrue();
     assertThat(client.get(KEY).join().get()).isEmpty();
@@ -69,9 +68,8 @@
     standIn.setFaults(List.of(new PlatformFault(Kind.DROP_ANSWER, 0, 0, 1)));
     assertThat(code(commit(Write.insert(KEY, "a")))).isEqualTo(ResultCode.PLATFORM_TIMEOUT);
     assertThat(client.get(KEY).join().get()).isPresent();
-    try (HttpPlatformClient impatient =
-        new HttpPlatformClient(
-            standIn.address(), IMPATIENT, PlatformMetrics.NONE, Ticker.system())) {
+    try (PlatformClient impatient =
+        new PlatformClient(standIn.address(), IMPATIENT, PlatformMetrics.NONE, Ticker.system())) {
       // An open connection makes sure that the commit is sent before the client gives up.
       Awaiting.await(() -> impatient.get(KEY).join().isRight());
       standIn.setFaults(List.of(new PlatformFault(Kind.SLOW, 60_000, 0, 1)));
