Log each decision on a call, reload limits on SIGHUP and answer at once

Cause: an engineer could not follow a request from its id; SIGHUP ended the process; the news of a dead target was held back for up to a second, although a final answer has to go out at once.

--- a/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
@@ -33,6 +33,8 @@
   }
 
   private static int start(String file, PrintStream err) {
+    // The log of a node is its standard output; commands print their results there instead.
+    System.setProperty("tinylog.writer.stream", "out");
     if (file == null) {
       return CommandLine.badUsage(err, "--settings is missing");
     }
@@ -42,7 +44,7 @@
       return FAILED;
     }
     try (NodeProcess node = NodeProcess.start(settings.get(), deployment(settings.get()))) {
-      ProcessSignals signals = ProcessSignals.install();
+      ProcessSignals signals = ProcessSignals.install(() -> reload(file, node));
       signals.awaitFirst();
       Thread stop = new Thread(node::drain, "stop");
       stop.start();
@@ -57,6 +59,16 @@
     }
   }
 
+  /** Takes over what can change while the node runs; settings with an error change nothing. */
+  private static void reload(String file, NodeProcess node) {
+    Either<Failure, NodeSettings> settings = SettingsFile.read(Path.of(file));
+    if (settings.isLeft()) {
+      Logger.error("event=settings_refused reason=\"{}\"", settings.getLeft());
+    } else {
+      node.reload(settings.get());
+    }
+  }
+
   private static Deployment deployment(NodeSettings settings) {
     return switch (settings.deployment()) {
       case ARBUTUS -> new ArbutusDeployment();
--- a/cli/src/main/java/dev/arbutusroad/cli/ProcessSignals.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/ProcessSignals.java
@@ -5,7 +5,10 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
-/** Counts SIGTERM and SIGINT: the first asks for a graceful stop, the second for an end at once. */
+/**
+ * Counts SIGTERM and SIGINT: the first asks for a graceful stop, the second for an end at once.
+ * SIGHUP, whose default would end the process, asks for a reload of the settings.
+ */
 final class ProcessSignals {
   private static final long POLL_MILLIS = 50;
 
@@ -13,10 +16,16 @@
 
   private ProcessSignals() {}
 
+  static ProcessSignals install(Runnable reload) {
+    ProcessSignals signals = install();
+    signals.handle("HUP", reload);
+    return signals;
+  }
+
   static ProcessSignals install() {
     ProcessSignals signals = new ProcessSignals();
     for (String name : List.of("TERM", "INT")) {
-      signals.handle(name);
+      signals.handle(name, signals.received::release);
     }
     return signals;
   }
@@ -25,7 +34,7 @@
    * Registers a handler through reflection: {@code sun.misc.Signal} is the only way to see a second
    * signal, as a shutdown hook sees the first one only, and the compiler warns of its direct use.
    */
-  private void handle(String name) {
+  private void handle(String name, Runnable action) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -34,7 +43,7 @@
               ProcessSignals.class.getClassLoader(),
               new Class<?>[] {handler},
               (proxy, method, args) -> {
-                received.release();
+                action.run();
                 return null;
               });
       Object instance = signal.getConstructor(String.class).newInstance(name);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -67,6 +67,7 @@
     SecureRandom tokens = new SecureRandom();
     SplittableRandom random = new SplittableRandom(tokens.nextLong());
     answers = new Answers(options.protocol(), new RetryAdvice(random.split()));
+    CallLog log = new CallLog(options.log(), ticker);
     lease = new TargetLease(options.targetLeaseMillis());
     abort = new ClientAbort(answers);
     codec = new ContextCodec(options.sharedSecret());
@@ -86,7 +87,8 @@
             this::targetLost,
             overload.admission(),
             answers,
-            options.protocol());
+            options.protocol(),
+            log);
     exit =
         new Exit(
             policies,
@@ -98,7 +100,8 @@
             random.split(),
             overload,
             duties,
-            answers);
+            answers,
+            log);
     newerPolicy = new NewerPolicy(policies, duties);
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
@@ -4,6 +4,7 @@
 import dev.arbutusroad.core.settings.Limits;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * What the data path needs to know of its node.
@@ -15,6 +16,7 @@
  * @param targetLeaseMillis how long a target that does not renew its announcement is believed
  * @param protocol how callers and targets state the terms of a call
  * @param callerService the service of calls on the exit listener, if targets pass no tokens
+ * @param log takes a line for each decision; must not block
  */
 public record DataPathOptions(
     String memberId,
@@ -23,7 +25,8 @@
     String sharedSecret,
     long targetLeaseMillis,
     CallProtocol protocol,
-    Optional<String> callerService) {
+    Optional<String> callerService,
+    Consumer<String> log) {
   public DataPathOptions {
     Objects.requireNonNull(memberId, "memberId");
     Objects.requireNonNull(region, "region");
@@ -31,6 +34,7 @@
     Objects.requireNonNull(sharedSecret, "sharedSecret");
     Objects.requireNonNull(protocol, "protocol");
     Objects.requireNonNull(callerService, "callerService");
+    Objects.requireNonNull(log, "log");
   }
 
   /** The options of a node that speaks the product's own interface. */
@@ -43,7 +47,8 @@
         sharedSecret,
         Limits.defaults().targetLeaseMillis(),
         new ArbutusProtocol(),
-        Optional.empty());
+        Optional.empty(),
+        line -> {});
   }
 
   @Override
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -11,7 +11,6 @@
 import dev.arbutusroad.core.retry.FailedAttempt;
 import dev.arbutusroad.core.retry.RetryAllowance;
 import dev.arbutusroad.core.retry.RetryDecision;
-import dev.arbutusroad.core.retry.RetryRules;
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
 import io.servicetalk.concurrent.api.Single;
@@ -45,6 +44,7 @@
   private final OverloadControl overload;
   private final NodeDuties duties;
   private final Answers answers;
+  private final CallLog log;
 
   Exit(
       Supplier<Optional<PolicyResolver>> policies,
@@ -56,7 +56,8 @@
       RandomGenerator random,
       OverloadControl overload,
       NodeDuties duties,
-      Answers answers) {
+      Answers answers,
+      CallLog log) {
     this.policies = policies;
     this.members = members;
     this.targets = targets;
@@ -67,6 +68,7 @@
     this.overload = overload;
     this.duties = duties;
     this.answers = answers;
+    this.log = log;
   }
 
   /**
@@ -143,7 +145,7 @@
             parent.map(call -> call.context().depth() + 1).orElse(1),
             resolver.version());
     InboundCall payer = parent.orElseGet(() -> new InboundCall("", template, deadlineNanos));
-    return new OutgoingCall(received, policy, payer, template, deadlineNanos, body);
+    return new OutgoingCall(received, policy, payer, template, ticker.nanos(), deadlineNanos, body);
   }
 
   /** A target's call without a context is background work unless a rule gives its importance. */
@@ -229,6 +231,8 @@
       Failure failure = Failure.of(code.orElseThrow());
       return failedAttempt(call, settlement.member(), failure, Optional.of(response));
     }
+    log.answered(
+        call, settlement.member(), response.status().code(), ticker.nanos() - call.receivedNanos());
     return Single.succeeded(settlement.track(clean(response)));
   }
 
@@ -245,16 +249,13 @@
     RetryDecision decision =
         overload.decide(
             describe(call, failure.code()), call.parent().allowance(), call.received().service());
+    log.attemptFailed(call, member, failure, decision.rule(), decision.action().name());
     boolean stop = decision.action() == RetryDecision.Action.STOP;
-    if (stop && failure.code() != ResultCode.TARGET_DIED) {
+    if (stop) {
       answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
       return refuse(call.received(), failure);
     }
     answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
-    if (stop) {
-      return hop.pause(member.callerAddress(), newsPause(call))
-          .concat(refuse(call.received(), failure));
-    }
     if (decision.action() == RetryDecision.Action.REROUTE) {
       call.rerouted();
       return attempt(call);
@@ -263,15 +264,6 @@
         .concat(Single.defer(() -> resume(call, failure)));
   }
 
-  /**
-   * Holds back the news of a dead target until the other nodes know of the suspect: a caller that
-   * sends the request again at once would else lose a third target to it.
-   */
-  private long newsPause(OutgoingCall call) {
-    long remainingNanos = call.deadlineNanos() - ticker.nanos();
-    return Math.max(0, Math.min(RetryRules.DEATH_PAUSE_NANOS, remainingNanos / 2));
-  }
-
   /** Tries again after a pause, in which the request may have become a suspect. */
   private Single<StreamingHttpResponse> resume(OutgoingCall call, Failure failure) {
     return overload.isSuspect(call.fingerprint())
@@ -314,6 +306,7 @@
   }
 
   private Single<StreamingHttpResponse> refuse(ReceivedCall received, Failure failure) {
+    log.refused(received, failure, policies.get().map(PolicyResolver::version).orElse(0L));
     return Single.succeeded(answers.failure(received.factory(), failure));
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
@@ -26,6 +26,7 @@
   private final GateAdmission admission;
   private final Answers answers;
   private final CallProtocol protocol;
+  private final CallLog log;
   private boolean closed;
 
   Gate(
@@ -37,9 +38,11 @@
       Runnable targetLost,
       GateAdmission admission,
       Answers answers,
-      CallProtocol protocol) {
+      CallProtocol protocol,
+      CallLog log) {
     this.answers = answers;
     this.protocol = protocol;
+    this.log = log;
     this.admission = admission;
     this.lease = lease;
     this.inbound = inbound;
@@ -185,6 +188,7 @@
     if (rejected.isPresent()) {
       return reject(call, inboundCall, slot, response, rejected.orElseThrow());
     }
+    log.gateAnswered(call, inboundCall.context(), targetId(), response.status().code());
     ArbutusHeaders.removeAll(response.headers());
     HopByHopHeaders.remove(response.headers());
     addNodeHeaders(response, inboundCall.allowance().close(), inboundCall.level());
@@ -250,17 +254,23 @@
 
   private StreamingHttpResponse failure(
       ReceivedCall call, InboundCall inboundCall, Failure failure) {
+    log.gateFailed(call, inboundCall.context(), targetId(), failure);
     StreamingHttpResponse response = answers.failure(call.factory(), failure);
     addNodeHeaders(response, inboundCall.allowance().close(), inboundCall.level());
     return response;
   }
 
   private StreamingHttpResponse refuse(ReceivedCall call, CallContext context, Failure failure) {
+    log.gateRefused(call, context, failure, admission.snapshot());
     StreamingHttpResponse response = answers.failure(call.factory(), failure);
     addNodeHeaders(response, context.grant(), AdmissionLevel.OPEN);
     return response;
   }
 
+  private String targetId() {
+    return lease.target().map(LocalTarget::instance).orElse("-");
+  }
+
   /** Tells the calling node what it may spend again and which calls are refused here or deeper. */
   private void addNodeHeaders(StreamingHttpResponse response, int unused, AdmissionLevel deeper) {
     response
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
@@ -2,6 +2,7 @@
 
 import dev.arbutusroad.core.admission.AdmissionController;
 import dev.arbutusroad.core.admission.AdmissionLevel;
+import dev.arbutusroad.core.admission.AdmissionSnapshot;
 import dev.arbutusroad.core.admission.AdmissionTicket;
 import dev.arbutusroad.core.admission.AdmissionWaiter;
 import dev.arbutusroad.core.admission.CallOutcome;
@@ -42,6 +43,11 @@
     this.ticker = ticker;
   }
 
+  /** The state for logs. */
+  AdmissionSnapshot snapshot() {
+    return controller.snapshot(ticker.nanos());
+  }
+
   /** The level in force. */
   AdmissionLevel level() {
     return controller.currentLevel();
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
@@ -15,6 +15,7 @@
   private final CallPolicy policy;
   private final InboundCall parent;
   private final CallContext template;
+  private final long receivedNanos;
   private final long deadlineNanos;
   private final RequestBody body;
   private final Fingerprint fingerprint;
@@ -34,12 +35,14 @@
       CallPolicy policy,
       InboundCall parent,
       CallContext template,
+      long receivedNanos,
       long deadlineNanos,
       RequestBody body) {
     this.received = received;
     this.policy = policy;
     this.parent = parent;
     this.template = template;
+    this.receivedNanos = receivedNanos;
     this.deadlineNanos = deadlineNanos;
     this.body = body;
     this.fingerprint = received.fingerprint(body);
@@ -57,6 +60,10 @@
     return parent;
   }
 
+  long receivedNanos() {
+    return receivedNanos;
+  }
+
   long deadlineNanos() {
     return deadlineNanos;
   }
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -8,6 +8,7 @@
 import dev.arbutusroad.core.membership.MemberState;
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.resource.Closer;
+import dev.arbutusroad.core.settings.Limits;
 import dev.arbutusroad.core.settings.NodeSettings;
 import dev.arbutusroad.core.store.PlatformClientSettings;
 import dev.arbutusroad.core.store.PlatformServices;
@@ -26,6 +27,7 @@
 import dev.arbutusroad.node.datapath.DataPathOptions;
 import dev.arbutusroad.node.datapath.ExitService;
 import dev.arbutusroad.node.datapath.HttpListener;
+import dev.arbutusroad.node.log.LineLog;
 import dev.arbutusroad.node.membership.MembershipDuty;
 import dev.arbutusroad.node.membership.MembershipMetrics;
 import dev.arbutusroad.node.membership.MembershipOptions;
@@ -64,6 +66,7 @@
   private final Closer closer = new Closer();
   private final Ticker ticker = Ticker.system();
   private final PrometheusRegistry metrics = new PrometheusRegistry();
+  private final LineLog log = closer.register(LineLog.start(System.out));
   private final PlatformServices platform;
   private final MembershipDuty membership;
   private final ConfigurationDuty configuration;
@@ -73,10 +76,12 @@
   private final HttpListener exit;
   private final Optional<HttpListener> announcements;
   private final Executor eventLoop;
+  private volatile Limits limits;
   private volatile boolean closed;
 
   private NodeProcess(NodeSettings settings, Deployment deployment) throws IOException {
     this.settings = settings;
+    this.limits = settings.limits();
     this.deployment = deployment;
     platform =
         closer.register(
@@ -141,8 +146,7 @@
    * up to the drain limit of the settings.
    */
   public void drain() {
-    long deadline =
-        ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(settings.limits().drainLimitMillis());
+    long deadline = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limits.drainLimitMillis());
     Logger.info("event=drain_started node={}", settings.id());
     membership.leave();
     onEventLoop(
@@ -170,6 +174,21 @@
     }
   }
 
+  /** Takes over the limits of new settings; other changes need a restart. */
+  public void reload(NodeSettings newSettings) {
+    boolean limitsChanged = !newSettings.limits().equals(limits);
+    boolean othersChanged =
+        !newSettings.listeners().equals(settings.listeners())
+            || !newSettings.platform().equals(settings.platform())
+            || !newSettings.id().equals(settings.id());
+    limits = newSettings.limits();
+    Logger.info(
+        "event=settings_reloaded node={} limits_changed={} restart_needed={}",
+        settings.id(),
+        limitsChanged,
+        othersChanged);
+  }
+
   /** Calls received and not answered to the last byte. */
   public int callsInProgress() {
     return onEventLoop(dataPath::callsInProgress);
@@ -253,7 +272,8 @@
             new String(settings.sharedSecret().bytes(), StandardCharsets.UTF_8),
             settings.limits().targetLeaseMillis(),
             deployment.calls(),
-            settings.service());
+            settings.service(),
+            log::add);
     return new DataPath(
         options,
         this::policies,
--- a/node/src/main/java/dev/arbutusroad/node/process/PlatformMetricsExport.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/PlatformMetricsExport.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
 
 /** Publishes the measurements of the platform client. */
 final class PlatformMetricsExport implements PlatformMetrics {
@@ -59,6 +60,7 @@
   @Override
   public void circuitOpened() {
     circuitOpenings.inc();
+    Logger.warn("event=platform_circuit_opened");
   }
 
   private static String name(Operation operation) {
