--- /dev/null
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
@@ -0,0 +1,69 @@
+package dev.arbutusroad.node.datapath;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.arbutusroad.core.edge.TargetReport;
+import dev.arbutusroad.core.edge.TargetReport.State;
+import dev.arbutusroad.core.net.Addresses;
+import dev.arbutusroad.node.datapath.TargetLease.Change;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class TargetLeaseTest {
+  private static final long LEASE_MILLIS = 4_500;
+
+  private final TargetLease lease = new TargetLease(LEASE_MILLIS);
+
+  /** Guards against a late report that makes a leaving target take calls again. */
+  @Test
+  void laterReportsWinWhateverTheOrderOfArrival() {
+    assertThat(report("a", 10, 1, State.READY)).isEqualTo(Change.SERVING);
+    assertThat(report("a", 10, 3, State.LEAVING)).isEqualTo(Change.LEAVING);
+    assertThat(report("a", 10, 2, State.READY)).isEqualTo(Change.OUTDATED);
+    assertThat(lease.isLeaving()).isTrue();
+    assertThat(report("a", 10, 4, State.LEAVING)).isEqualTo(Change.UNCHANGED);
+  }
+
+  /** Guards against a delayed report of a target that another one has replaced. */
+  @Test
+  void reportsOfAnEarlierStartAreOutdated() {
+    report("old", 10, 9, State.READY);
+    assertThat(report("new", 20, 1, State.READY)).isEqualTo(Change.SERVING);
+    assertThat(report("old", 10, 10, State.READY)).isEqualTo(Change.OUTDATED);
+    assertThat(lease.target().orElseThrow().instance()).isEqualTo("new");
+  }
+
+  /** Guards against a target that is refused for ever after a restart under its old id. */
+  @Test
+  void restartUnderTheSameIdCountsFromTheStart() {
+    report("a", 10, 9, State.LEAVING);
+    assertThat(report("a", 20, 1, State.READY)).isEqualTo(Change.SERVING);
+    assertThat(lease.isLeaving()).isFalse();
+  }
+
+  /** Guards against a report on its way that undoes the end of its target. */
+  @Test
+  void aTargetThatHasLeftStaysAway() {
+    report("a", 10, 1, State.READY);
+    assertThat(lease.left("b")).isFalse();
+    assertThat(lease.left("a")).isTrue();
+    assertThat(report("a", 10, 2, State.READY)).isEqualTo(Change.OUTDATED);
+    assertThat(lease.isLeaving()).isTrue();
+  }
+
+  /** Guards against a silent target that calls are still sent to. */
+  @Test
+  void leaseEndsWithoutReports() {
+    report("a", 10, 1, State.READY);
+    assertThat(lease.expire(TimeUnit.MILLISECONDS.toNanos(LEASE_MILLIS - 1))).isFalse();
+    assertThat(lease.expire(TimeUnit.MILLISECONDS.toNanos(LEASE_MILLIS))).isTrue();
+    assertThat(lease.target()).isEmpty();
+  }
+
+  private Change report(String instance, long started, long sequence, State state) {
+    return lease.report(
+        new TargetReport(
+            instance, "orders", Addresses.of("127.0.0.1", 80), started, sequence, state, 1, 0),
+        0);
+  }
+}
--- a/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformFault.java
+++ b/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformFault.java
@@ -21,6 +21,14 @@
     DROP_ANSWER,
     /** Reads are answered from the state some time ago. */
     OLD_READS,
+    /** Calls are refused with 503; nothing takes effect. */
+    REFUSE,
+    /** Calls are refused with 429; nothing takes effect. */
+    OVER_RATE,
+    /** The history that feeds continue from is gone. */
+    FORGET,
+    /** Commits take effect after {@code delayMillis}; their connections are closed at once. */
+    LATE_WRITE,
     /** Commits are refused with a conflict on their first key, whatever its version. */
     SPURIOUS_CONFLICT
   }
--- a/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStandIn.java
+++ b/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStandIn.java
@@ -32,6 +32,9 @@
 public final class PlatformStandIn implements AutoCloseable {
   private static final int DEFAULT_SCAN_LIMIT = 100;
 
+  /** How often a held answer of the feed looks for changes. */
+  private static final long FEED_STEP_MILLIS = 10;
+
   private final PlatformStore store;
   private final ActiveFaults faults;
   private final AtomicLong reads = new AtomicLong();
@@ -103,6 +106,20 @@
       if (faults.take(Kind.DOWN).isPresent()) {
         return dropped(context);
       }
+      if (faults.take(Kind.REFUSE).isPresent()) {
+        return Single.succeeded(responses.serviceUnavailable());
+      }
+      if (faults.take(Kind.OVER_RATE).isPresent()) {
+        return Single.succeeded(responses.tooManyRequests());
+      }
+      if (request.rawPath().equals(RowsJson.FEED_PATH)) {
+        return feed(context, request, responses);
+      }
+      Optional<PlatformFault> late =
+          isRead(request) ? Optional.empty() : faults.take(Kind.LATE_WRITE);
+      if (late.isPresent()) {
+        return serveLate(context, request, responses, late.get());
+      }
       HttpResponse response = serve(request, responses);
       if (!isRead(request) && faults.take(Kind.DROP_ANSWER).isPresent()) {
         return dropped(context);
@@ -153,18 +170,58 @@
     if (path.equals(RowsJson.READ_PATH) && read) {
       return rows(request, responses);
     }
-    if (path.equals(RowsJson.FEED_PATH) && read) {
-      long after = Long.parseLong(request.queryParameter("after"));
-      String prefix = RowsJson.key(request.queryParameter("table"), "");
-      return json(
-          responses.ok(), RowsJson.encodeRows(store.changedAfter(prefix, after), store.version()));
-    }
     if (path.startsWith(RowsJson.OBJECT_GET_PATH) || path.startsWith(RowsJson.OBJECT_PUT_PATH)) {
       return object(request, responses);
     }
     return responses.newResponse(HttpResponseStatus.METHOD_NOT_ALLOWED);
   }
 
+  /** Holds the answer until a row of the table changes or the time that the caller gave is over. */
+  private Single<HttpResponse> feed(
+      HttpServiceContext context, HttpRequest request, HttpResponseFactory responses) {
+    if (faults.take(Kind.FORGET).isPresent()) {
+      return Single.succeeded(responses.newResponse(HttpResponseStatus.GONE));
+    }
+    long after = Long.parseLong(request.queryParameter("after"));
+    long waitMillis = Long.parseLong(request.queryParameter("waitMs"));
+    String prefix = RowsJson.key(request.queryParameter("table"), "");
+    return awaitChange(context, responses, prefix, after, waitMillis);
+  }
+
+  private Single<HttpResponse> awaitChange(
+      HttpServiceContext context,
+      HttpResponseFactory responses,
+      String prefix,
+      long after,
+      long waitMillis) {
+    List<Row> changed = store.changedAfter(prefix, after);
+    if (!changed.isEmpty() || waitMillis <= 0) {
+      return Single.succeeded(json(responses.ok(), RowsJson.encodeRows(changed, store.version())));
+    }
+    return context
+        .executionContext()
+        .executor()
+        .timer(FEED_STEP_MILLIS, TimeUnit.MILLISECONDS)
+        .concat(
+            Single.defer(
+                () ->
+                    awaitChange(context, responses, prefix, after, waitMillis - FEED_STEP_MILLIS)));
+  }
+
+  private Single<HttpResponse> serveLate(
+      HttpServiceContext context,
+      HttpRequest request,
+      HttpResponseFactory responses,
+      PlatformFault late) {
+    context
+        .executionContext()
+        .executor()
+        .timer(late.delayMillis(), TimeUnit.MILLISECONDS)
+        .concat(Single.fromCallable(() -> serve(request, responses)))
+        .subscribe(response -> {});
+    return dropped(context);
+  }
+
   private HttpResponse rows(HttpRequest request, HttpResponseFactory responses) {
     String table = request.queryParameter("table");
     String from = Optional.ofNullable(request.queryParameter("from")).orElse("");
--- a/tools/src/test/java/dev/arbutusroad/tools/platform/PlatformStandInTest.java
+++ b/tools/src/test/java/dev/arbutusroad/tools/platform/PlatformStandInTest.java
@@ -4,6 +4,7 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.store.ChangeFeed;
 import dev.arbutusroad.core.store.CommitResult;
 import dev.arbutusroad.core.store.PlatformClientSettings;
 import dev.arbutusroad.core.store.PlatformMetrics;
@@ -140,6 +141,34 @@
     assertThat(code(commit(Write.insert(KEY, "a")))).isEqualTo(ResultCode.PLATFORM_REFUSED);
   }
 
+  /** Guards against a refusal that is taken for an open outcome, or the reverse. */
+  @Test
+  void refusalsOfTheStoreAreKnownNotToHaveTakenEffect() throws Exception {
+    standIn.setFaults(List.of(new PlatformFault(Kind.REFUSE, 0, 0, 1)));
+    assertThat(code(commit(Write.insert(KEY, "a")))).isEqualTo(ResultCode.PLATFORM_REFUSED);
+    standIn.setFaults(List.of(new PlatformFault(Kind.OVER_RATE, 0, 0, 1)));
+    assertThat(code(commit(Write.insert(KEY, "a")))).isEqualTo(ResultCode.PLATFORM_REFUSED);
+    assertThat(client.get(KEY).join().get()).isEmpty();
+    standIn.setFaults(List.of(new PlatformFault(Kind.LATE_WRITE, 50, 0, 1)));
+    assertThat(code(commit(Write.insert(KEY, "a")))).isEqualTo(ResultCode.PLATFORM_TIMEOUT);
+    Awaiting.await(() -> client.get(KEY).join().get().isPresent());
+  }
+
+  /** Guards against a missed change and against a feed that can't go on after lost history. */
+  @Test
+  void feedTellsOfChangesAndOfLostHistory() {
+    CompletableFuture<Either<Failure, ChangeFeed.Changes>> held =
+        client.changes("claim", 0, 30_000);
+    assertThat(commit(Write.insert("other/x", "a")).get().applied()).isTrue();
+    assertThat(commit(Write.insert(KEY, "a")).get().applied()).isTrue();
+    ChangeFeed.Changes changes = held.join().get();
+    assertThat(changes.rows()).containsExactly(new Row(KEY, "a", 2));
+    assertThat(changes.version()).contains(2L);
+    assertThat(client.changes("claim", 2, 0).join().get().rows()).isEmpty();
+    standIn.setFaults(List.of(new PlatformFault(Kind.FORGET, 0, 0, 1)));
+    assertThat(client.changes("claim", 1, 0).join().get().version()).isEmpty();
+  }
+
   private Either<Failure, CommitResult> commit(Write... writes) {
     return client.commit(List.of(writes)).join();
   }
