--- a/core/src/main/java/dev/arbutusroad/core/config/ConfigurationTracker.java
+++ b/core/src/main/java/dev/arbutusroad/core/config/ConfigurationTracker.java
@@ -33,6 +33,7 @@
 
   private final ConfigurationHolder holder;
   private final RandomGenerator random;
+  private final long minPollNanos;
 
   private long observedAt;
   private long distrustUntil;
@@ -52,6 +53,17 @@
 
   /** The first read of the store is due at once. */
   public ConfigurationTracker(ConfigurationHolder holder, RandomGenerator random, long nowNanos) {
+    this(holder, random, nowNanos, PollInterval.MIN_NANOS);
+  }
+
+  /**
+   * Creates a tracker.
+   *
+   * @param minPollNanos the shortest mean interval between two reads of the store
+   */
+  public ConfigurationTracker(
+      ConfigurationHolder holder, RandomGenerator random, long nowNanos, long minPollNanos) {
+    this.minPollNanos = minPollNanos;
     this.holder = holder;
     this.random = random;
     this.observedAt = nowNanos;
@@ -75,7 +87,7 @@
     }
     pollInFlight = true;
     pollStartedAt = observedAt;
-    pollDueAt = observedAt + PollInterval.nextNanos(members, random);
+    pollDueAt = observedAt + PollInterval.nextNanos(members, minPollNanos, random);
     return true;
   }
 
--- a/core/src/main/java/dev/arbutusroad/core/config/PollInterval.java
+++ b/core/src/main/java/dev/arbutusroad/core/config/PollInterval.java
@@ -12,6 +12,10 @@
   public static final int MAX_READS_PER_SECOND = 95;
 
   public static final long MIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** With a feed that tells of changes, reads only make up for a feed that has gone silent. */
+  public static final long MIN_NANOS_WITH_FEED = TimeUnit.SECONDS.toNanos(4);
+
   public static final long MAX_NANOS = TimeUnit.SECONDS.toNanos(20);
 
   /** Spreads nodes that started together; the mean stays at the interval. */
@@ -19,15 +23,20 @@
 
   private PollInterval() {}
 
-  /** The mean interval for a number of members. */
+  /** The mean interval for a number of members without a feed. */
   public static long meanNanos(int members) {
+    return meanNanos(members, MIN_NANOS);
+  }
+
+  /** The mean interval for a number of members, at least {@code minNanos}. */
+  public static long meanNanos(int members, long minNanos) {
     long nanos = TimeUnit.SECONDS.toNanos(Math.max(0, members)) / MAX_READS_PER_SECOND;
-    return Math.min(Math.max(nanos, MIN_NANOS), MAX_NANOS);
+    return Math.min(Math.max(nanos, minNanos), MAX_NANOS);
   }
 
   /** One interval, chosen evenly around the mean. */
-  public static long nextNanos(int members, RandomGenerator random) {
+  public static long nextNanos(int members, long minNanos, RandomGenerator random) {
     double factor = 1 - JITTER + 2 * JITTER * random.nextDouble();
-    return (long) (meanNanos(members) * factor);
+    return (long) (meanNanos(members, minNanos) * factor);
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/configuration/ConfigurationDuty.java
+++ b/node/src/main/java/dev/arbutusroad/node/configuration/ConfigurationDuty.java
@@ -55,6 +55,7 @@
    * A duty that has not started.
    *
    * @param holder publishes the configuration; only this duty changes it
+   * @param minPollNanos the shortest mean interval between two reads of the store
    * @param members counts the members that are not dead, this node included
    * @param onAdopted called on the duty's thread with each configuration that comes into force
    */
@@ -64,6 +65,7 @@
       PeerDocuments peers,
       Ticker ticker,
       RandomGenerator random,
+      long minPollNanos,
       IntSupplier members,
       Consumer<Configuration> onAdopted) {
     this.holder = holder;
@@ -72,7 +74,7 @@
     this.ticker = ticker;
     this.members = members;
     this.onAdopted = onAdopted;
-    this.tracker = new ConfigurationTracker(holder, random, ticker.nanos());
+    this.tracker = new ConfigurationTracker(holder, random, ticker.nanos(), minPollNanos);
   }
 
   /** Starts the duty's thread. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -196,7 +196,11 @@
             call.body(),
             remaining,
             ResultCode.OUTCOME_UNKNOWN)
-        .beforeCancel(settlement::abandoned)
+        .beforeCancel(
+            () -> {
+              log.cancelled(call.received());
+              settlement.abandoned();
+            })
         .flatMap(outcome -> settle(call, settlement, grant, outcome));
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -2,6 +2,7 @@
 
 import dev.arbutusroad.core.config.ConfigurationHolder;
 import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.config.PollInterval;
 import dev.arbutusroad.core.edge.AnnouncementProtocol;
 import dev.arbutusroad.core.edge.Deployment;
 import dev.arbutusroad.core.membership.Member;
@@ -252,6 +253,9 @@
         membership::fetchDocument,
         ticker,
         random,
+        deployment.configurationTable().isPresent()
+            ? PollInterval.MIN_NANOS_WITH_FEED
+            : PollInterval.MIN_NANOS,
         () -> membership.view().all().size(),
         adopted -> {});
   }
--- a/node/src/test/java/dev/arbutusroad/node/configuration/ConfigurationDutyTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/configuration/ConfigurationDutyTest.java
@@ -5,6 +5,7 @@
 import dev.arbutusroad.core.config.Configuration;
 import dev.arbutusroad.core.config.ConfigurationHolder;
 import dev.arbutusroad.core.config.ConfigurationParser;
+import dev.arbutusroad.core.config.PollInterval;
 import dev.arbutusroad.core.membership.ConfigurationMark;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
@@ -44,6 +45,7 @@
           this::fetch,
           () -> nowNanos,
           new SplittableRandom(1),
+          PollInterval.MIN_NANOS,
           () -> 1,
           configuration -> adopted.add(configuration.version()));
 
