Disable the library's context on the data path

Profile of a node at 150 calls a second: 2.1 ms of the event loop a call, spread over the operators of the HTTP library without a hot spot; C2, lower compile thresholds, larger inlining and disabled buffer checks changed nothing within the noise. Measured here: 2.1 ms a call with and without the context, so this is kept only because nothing uses the context. The data path needs fewer operators.

--- a/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
@@ -5,6 +5,7 @@
 import dev.arbutusroad.core.settings.NodeSettings;
 import dev.arbutusroad.node.process.NodeProcess;
 import dev.arbutusroad.platform.PlatformDeployment;
+import io.servicetalk.concurrent.api.AsyncContext;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -35,6 +36,8 @@
   private static int start(String file, PrintStream err) {
     // The log of a node is its standard output; commands print their results there instead.
     System.setProperty("tinylog.writer.stream", "out");
+    // The node passes no values through the library's context; carrying it costs time in each step.
+    AsyncContext.disable();
     if (file == null) {
       return CommandLine.badUsage(err, "--settings is missing");
     }
