Rank calls of targets by the request that they serve

Targets extend the id of the request that they serve, so a node now finds the parent of a call, which gives its importance and deadline; levels flow back to the first hop.

A broken connection to a target that keeps or answers others no longer makes its request a suspect of crashing targets, which would be run one at a time.

The first retries of a service are shared by the nodes that are known, as the fixed part of the allowed retries is one for all of them.

--- a/core/src/main/java/dev/arbutusroad/core/admission/AdmissionLevel.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/AdmissionLevel.java
@@ -55,6 +55,11 @@
     return rank >= other.rank ? this : other;
   }
 
+  /** The level that admits as much of calls whose importance is lower by {@code importance}. */
+  public AdmissionLevel lowered(int importance) {
+    return new AdmissionLevel(Math.max(0, Math.min(MAX_RANK, rank - importance * GROUPS)));
+  }
+
   /** The text form used in headers, metrics and dumps: {@code importance.group}. */
   public String format() {
     return importance() + "." + firstGroup();
--- a/core/src/main/java/dev/arbutusroad/core/edge/CallProtocol.java
+++ b/core/src/main/java/dev/arbutusroad/core/edge/CallProtocol.java
@@ -31,7 +31,8 @@
 
   /**
    * Whether targets copy the token of the call that they serve to the calls that they make. If not,
-   * each call on the exit listener is an original request.
+   * each call on the exit listener has retries of its own, and a call that names its parent takes
+   * its importance and deadline from there.
    */
   boolean passesTokens();
 }
--- a/core/src/main/java/dev/arbutusroad/core/edge/CallerTerms.java
+++ b/core/src/main/java/dev/arbutusroad/core/edge/CallerTerms.java
@@ -9,12 +9,17 @@
  * @param requestId identifies the attempt of the caller in logs and in the target's answer
  * @param deadlineMillis how long the caller waits, in milliseconds
  * @param orderKey the caller's key of an unrepeatable order
+ * @param parentId the id of the request on whose behalf a target makes the call, if it tells
  */
 public record CallerTerms(
-    Optional<String> requestId, Optional<Long> deadlineMillis, Optional<String> orderKey) {
+    Optional<String> requestId,
+    Optional<Long> deadlineMillis,
+    Optional<String> orderKey,
+    Optional<String> parentId) {
   public CallerTerms {
     Objects.requireNonNull(requestId, "requestId");
     Objects.requireNonNull(deadlineMillis, "deadlineMillis");
     Objects.requireNonNull(orderKey, "orderKey");
+    Objects.requireNonNull(parentId, "parentId");
   }
 }
--- a/core/src/main/java/dev/arbutusroad/core/fatal/FatalRequests.java
+++ b/core/src/main/java/dev/arbutusroad/core/fatal/FatalRequests.java
@@ -10,11 +10,12 @@
 /**
  * Finds requests that crash targets and keeps them from further ones.
  *
- * <p>Requests whose connections break when a target dies become suspects. A suspect runs only while
- * no other suspect is in flight at its target. If that target dies as well, the one suspect in
- * flight is marked, and marked requests are refused. If several suspects were in flight, as copies
- * of them had started before the first death was known, none is marked: an innocent one must not
- * be.
+ * <p>Requests whose connections break when a target dies become suspects. A target that keeps other
+ * connections or answers them has not died: it has lost an answer, and its requests stay innocent.
+ * A suspect runs only while no other suspect is in flight at its target. If that target dies as
+ * well, the one suspect in flight is marked, and marked requests are refused. If several suspects
+ * were in flight, as copies of them had started before the first death was known, none is marked:
+ * an innocent one must not be.
  *
  * <p>Not thread-safe: it belongs to one event loop.
  */
@@ -40,6 +41,8 @@
   private final Set<Fingerprint> broken = new HashSet<>();
   private final Set<Fingerprint> suspectsBroken = new HashSet<>();
   private long brokenSinceNanos;
+  private int begunSinceBreak;
+  private boolean answeredSinceBreak;
   private long deaths;
 
   /** Whether a request may run. */
@@ -60,6 +63,7 @@
     Verdict verdict = check(fingerprint, nowNanos);
     if (verdict == Verdict.RUN) {
       inFlight.merge(fingerprint, 1, Integer::sum);
+      begunSinceBreak++;
       if (isSuspect(fingerprint, nowNanos)) {
         suspectsInFlight.add(fingerprint);
       }
@@ -77,6 +81,7 @@
       return;
     }
     remove(fingerprint);
+    answeredSinceBreak |= completed;
     if (completed && isSuspect(fingerprint, nowNanos)) {
       table.put(fingerprint, FatalEntry.Status.CLEARED, nowNanos);
       suspectsInFlight.remove(fingerprint);
@@ -90,6 +95,8 @@
     }
     if (broken.isEmpty()) {
       brokenSinceNanos = nowNanos;
+      begunSinceBreak = 0;
+      answeredSinceBreak = false;
     }
     broken.add(fingerprint);
     if (suspectsInFlight.contains(fingerprint)) {
@@ -100,11 +107,22 @@
 
   /** Draws the conclusions from broken requests; to be called a few times a second. */
   public void settle(long nowNanos) {
-    if (!broken.isEmpty() && nowNanos - brokenSinceNanos >= GRACE_NANOS) {
+    if (broken.isEmpty() || nowNanos - brokenSinceNanos < GRACE_NANOS) {
+      return;
+    }
+    if (isTargetAlive()) {
+      broken.clear();
+      suspectsBroken.clear();
+    } else {
       conclude(nowNanos);
     }
   }
 
+  /** The death of a process breaks all its connections; a new one can't answer so soon. */
+  private boolean isTargetAlive() {
+    return answeredSinceBreak || inFlight() > begunSinceBreak;
+  }
+
   /** The local target has died with all its requests. */
   public void targetDied(long nowNanos) {
     for (Fingerprint fingerprint : List.copyOf(inFlight.keySet())) {
--- a/core/src/main/java/dev/arbutusroad/core/retry/RetryBudget.java
+++ b/core/src/main/java/dev/arbutusroad/core/retry/RetryBudget.java
@@ -9,13 +9,29 @@
   /** Retries per success. */
   static final double SHARE = 0.1;
 
-  /** Lets the first calls to a service be retried before there are successes. */
-  static final double INITIAL_TOKENS = 5;
-
-  /** Successes older than the last 500 or so allow no further retries. */
-  static final double MAX_TOKENS = 50;
+  /**
+   * Tokens of all nodes together before there are successes; less than the fixed number of retries
+   * that the users' rules leave to one service in ten seconds.
+   */
+  private static final double INITIAL_TOKENS_OF_ALL = 40;
+
+  /**
+   * Bounds what all nodes together may retry in one burst: a node saves up the successes of the
+   * last 50 calls, and a restart gains it nothing.
+   */
+  static final double MAX_TOKENS = 5;
+
+  private double tokens;
+
+  /** The budget of one of a number of nodes, which share the initial tokens. */
+  public RetryBudget(int nodes) {
+    tokens = Math.max(1, Math.min(MAX_TOKENS, INITIAL_TOKENS_OF_ALL / Math.max(1, nodes)));
+  }
 
-  private double tokens = INITIAL_TOKENS;
+  /** The budget of a lone node. */
+  public RetryBudget() {
+    this(1);
+  }
 
   /** Counts a success. */
   public void succeeded() {
--- a/core/src/main/java/dev/arbutusroad/core/retry/RetryBudgets.java
+++ b/core/src/main/java/dev/arbutusroad/core/retry/RetryBudgets.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.IntSupplier;
 
 /** The retry budget of each service that a node calls. */
 public final class RetryBudgets {
@@ -18,9 +19,20 @@
         }
       };
 
+  private final IntSupplier nodes;
+
+  /**
+   * Creates no budgets yet.
+   *
+   * @param nodes counts the nodes that share the retries of a service
+   */
+  public RetryBudgets(IntSupplier nodes) {
+    this.nodes = nodes;
+  }
+
   /** The budget of a service. */
   public RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(service, name -> new RetryBudget());
+    return budgets.computeIfAbsent(service, name -> new RetryBudget(nodes.getAsInt()));
   }
 
   /** The tokens by service, for dumps and metrics. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusProtocol.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusProtocol.java
@@ -18,7 +18,8 @@
     return new CallerTerms(
         Optional.empty(),
         request.first(ArbutusHeaders.DEADLINE_MILLIS).flatMap(ArbutusHeaders::parseNumber),
-        request.first(ArbutusHeaders.ORDER_KEY));
+        request.first(ArbutusHeaders.ORDER_KEY),
+        Optional.empty());
   }
 
   @Override
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -76,7 +76,7 @@
         new TargetTable(options.region(), options.failureDomain(), random.split(), ticker.nanos());
     inbound = new InboundCalls(tokens);
     Hop hop = new Hop(connections, ticker);
-    overload = new OverloadControl(ticker, random.split());
+    overload = new OverloadControl(ticker, random.split(), () -> members.get().all().size());
     gate =
         new Gate(
             lease,
@@ -166,7 +166,8 @@
     HopByHopHeaders.remove(request.headers());
     if (!options.protocol().passesTokens()) {
       String caller = options.callerService().orElse(CallAttributes.EXTERNAL);
-      return tracker.track(exit.handle(call, caller, true, Optional.empty()));
+      Optional<InboundCall> served = call.token().flatMap(inbound::find);
+      return tracker.track(exit.handle(call, caller, true, served));
     }
     Optional<LocalTarget> target = lease.target();
     if (target.isEmpty()) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -30,6 +30,10 @@
 /** Sends calls of clients and of the local target to a target of their service. */
 final class Exit {
   private static final int MAX_DEPTH = 64;
+
+  /** Less than the distance between two ranks of routes, over the depth of usual call chains. */
+  private static final int CHILD_STEP = 2;
+
   private static final Map<Integer, ResultCode> CODES =
       Arrays.stream(ResultCode.values())
           .collect(Collectors.toUnmodifiableMap(ResultCode::number, Function.identity()));
@@ -137,17 +141,31 @@
         new CallContext(
             parent.map(call -> call.context().originId()).orElseGet(random::nextLong),
             policy.kind(),
-            parent.map(call -> call.context().importance()).orElse(importance(policy, original)),
+            parent
+                .map(call -> childImportance(call, original))
+                .orElse(importance(policy, original)),
             policy.unrepeatable(),
             original ? policy.retryAllowance() : 0,
             0,
             caller,
             parent.map(call -> call.context().depth() + 1).orElse(1),
             resolver.version());
-    InboundCall payer = parent.orElseGet(() -> new InboundCall("", template, deadlineNanos));
+    InboundCall payer =
+        original || parent.isEmpty()
+            ? new InboundCall("", template, deadlineNanos, parent)
+            : parent.orElseThrow();
     return new OutgoingCall(received, policy, payer, template, ticker.nanos(), deadlineNanos, body);
   }
 
+  /**
+   * A call for running work keeps its importance; where each call has retries of its own, it goes
+   * before new work of that importance, as its refusal would waste what has been done.
+   */
+  private static int childImportance(InboundCall parent, boolean original) {
+    int importance = parent.context().importance();
+    return original ? Math.min(CallPolicy.MAX_IMPORTANCE, importance + CHILD_STEP) : importance;
+  }
+
   /** A target's call without a context is background work unless a rule gives its importance. */
   private static int importance(CallPolicy policy, boolean original) {
     boolean byDefault = policy.kind().equals(CallPolicy.DEFAULT_KIND);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
@@ -147,7 +147,9 @@
       slot.abandoned();
       return Single.succeeded(refuse(call, context, Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
     }
-    InboundCall inboundCall = inbound.begin(context, deadlineNanos);
+    InboundCall inboundCall =
+        inbound.begin(
+            context, deadlineNanos, protocol.passesTokens() ? Optional.empty() : call.requestId());
     return hop.send(
             target.address(),
             call.request(),
--- a/node/src/main/java/dev/arbutusroad/node/datapath/InboundCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/InboundCall.java
@@ -2,6 +2,7 @@
 
 import dev.arbutusroad.core.admission.AdmissionLevel;
 import dev.arbutusroad.core.retry.RetryAllowance;
+import java.util.Optional;
 
 /**
  * A call that a target is running, or an original request that this node received.
@@ -14,9 +15,21 @@
   private final CallContext context;
   private final long deadlineNanos;
   private final RetryAllowance allowance;
+  private final Optional<InboundCall> upstream;
   private AdmissionLevel level = AdmissionLevel.OPEN;
 
   InboundCall(String token, CallContext context, long deadlineNanos) {
+    this(token, context, deadlineNanos, Optional.empty());
+  }
+
+  /**
+   * Creates the call.
+   *
+   * @param upstream the call that it is made for, if it has an allowance and importance of its own
+   */
+  InboundCall(
+      String token, CallContext context, long deadlineNanos, Optional<InboundCall> upstream) {
+    this.upstream = upstream;
     this.token = token;
     this.context = context;
     this.deadlineNanos = deadlineNanos;
@@ -43,6 +56,8 @@
   /** Notes the level that a call made on behalf of this one met. */
   void noteLevel(AdmissionLevel seen) {
     level = level.max(seen);
+    upstream.ifPresent(
+        call -> call.noteLevel(seen.lowered(context.importance() - call.context().importance())));
   }
 
   /** The strictest level that the calls made on behalf of this one met. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/InboundCalls.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/InboundCalls.java
@@ -19,8 +19,15 @@
     this.random = random;
   }
 
-  InboundCall begin(CallContext context, long deadlineNanos) {
-    String token = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+  /**
+   * Notes a call that the target starts to run.
+   *
+   * @param id the id that the target names in its own calls; empty if it copies a token
+   */
+  InboundCall begin(CallContext context, long deadlineNanos, Optional<String> id) {
+    String token =
+        id.orElseGet(
+            () -> Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong()));
     InboundCall call = new InboundCall(token, context, deadlineNanos);
     byToken.put(token, call);
     return call;
@@ -31,7 +38,7 @@
   }
 
   void end(InboundCall call) {
-    byToken.remove(call.token());
+    byToken.remove(call.token(), call);
   }
 
   int size() {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -22,6 +22,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 /** The state of the decisions under overload, shared by gate and exit. Owned by the data path. */
@@ -38,14 +39,15 @@
   private final FatalRequests fatal = new FatalRequests();
   private final GateAdmission admission;
   private final LevelTable levels = new LevelTable();
-  private final RetryBudgets budgets = new RetryBudgets();
+  private final RetryBudgets budgets;
   private final RetryRules rules;
   private final SortedMap<String, Long> decisions = new TreeMap<>();
   private long shedAtExit;
   private long publishedNanos;
   private volatile OverloadState published;
 
-  OverloadControl(Ticker ticker, RandomGenerator random) {
+  OverloadControl(Ticker ticker, RandomGenerator random, IntSupplier nodes) {
+    budgets = new RetryBudgets(nodes);
     this.ticker = ticker;
     controller =
         new AdmissionController(limit, AdmissionController.DEFAULT_QUEUE_CAPACITY, ticker.nanos());
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
@@ -48,7 +48,7 @@
     String service = service(headers);
     Labels labels = labels(headers);
     CallerTerms terms = protocol.terms(new StreamingHeaderFields(headers));
-    Optional<String> token = ArbutusHeaders.text(headers, ArbutusHeaders.CALL);
+    Optional<String> token = ArbutusHeaders.text(headers, ArbutusHeaders.CALL).or(terms::parentId);
     Optional<String> context = ArbutusHeaders.text(headers, ArbutusHeaders.CONTEXT);
     ArbutusHeaders.removeAll(headers);
     return new ReceivedCall(
