--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -13,6 +13,8 @@
 import dev.arbutusroad.node.claim.Claims;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpHeaderNames;
+import io.servicetalk.http.api.HttpHeaderValues;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
@@ -157,7 +159,15 @@
       StreamingHttpRequest request,
       StreamingHttpResponseFactory factory) {
     guard.check();
-    return abort.watch(connection, request, factory, () -> exit(request, factory));
+    Single<StreamingHttpResponse> answer =
+        abort.watch(connection, request, factory, () -> exit(request, factory));
+    return draining ? answer.map(DataPath::closing) : answer;
+  }
+
+  /** Has the caller open another connection, which it will do at another node. */
+  private static StreamingHttpResponse closing(StreamingHttpResponse response) {
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    return response;
   }
 
   private Single<StreamingHttpResponse> exit(
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -156,7 +156,8 @@
           return true;
         });
     sleep(LEAVE_NOTICE_MILLIS);
-    Future<Void> allClosed = caller.closeGracefully().toFuture();
+    // Requests that come later could not end before the process does.
+    Future<Void> allClosed = caller.closeGracefully().merge(exit.closeGracefully()).toFuture();
     while (callsInProgress() > 0 && deadline - ticker.nanos() > 0) {
       sleep(DRAIN_POLL_MILLIS);
     }
--- a/node/src/test/java/dev/arbutusroad/node/datapath/OverloadTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/OverloadTest.java
@@ -137,6 +137,7 @@
         nodes.tick();
       }
       results.add(call.get().headers().firstValue("arbutus-result").orElseThrow());
+      awaitDeaths(nodes, Math.min(i + 1, 2));
     }
 
     assertThat(results)
@@ -153,6 +154,19 @@
     assertThat(state(nodes, nodes.paths().get(3)).retryDecisions()).isNotEmpty();
   }
 
+  /** Ticks until that many deaths are known and the news of them has been spread. */
+  private static void awaitDeaths(TwoNodes nodes, long deaths) throws Exception {
+    long known = 0;
+    while (known < deaths) {
+      nodes.tick();
+      known = 0;
+      for (DataPath path : nodes.paths()) {
+        known += state(nodes, path).deaths();
+      }
+    }
+    nodes.tick();
+  }
+
   /**
    * Guards against a slow store that delays calls which need no claim, by orders that wait for it.
    */
