Never answer "not run" after an attempt that may have run

Cause: a call whose first attempt lost its answer and whose second was refused was answered with the refusal, which says that it has not run.

A marked request counts as implicated at the exit too, so that it is not sent again.

--- a/core/src/main/java/dev/arbutusroad/core/fatal/FatalRequests.java
+++ b/core/src/main/java/dev/arbutusroad/core/fatal/FatalRequests.java
@@ -33,7 +33,7 @@
    * The connections of a process that dies break together; the target runs on the same host, so
    * this is ample. A request that is still in flight afterwards was not part of the death.
    */
-  static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  public static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
   private final FatalTable table = new FatalTable();
   private final Map<Fingerprint, Integer> inFlight = new HashMap<>();
@@ -201,6 +201,14 @@
     }
   }
 
+  /** Whether a request is a suspect or marked. */
+  public boolean isImplicated(Fingerprint fingerprint, long nowNanos) {
+    return table
+        .status(fingerprint, nowNanos)
+        .filter(status -> status != FatalEntry.Status.CLEARED)
+        .isPresent();
+  }
+
   /** Whether a request was in flight when a target died and has not completed since. */
   public boolean isSuspect(Fingerprint fingerprint, long nowNanos) {
     return table
--- a/core/src/main/java/dev/arbutusroad/core/store/PlatformClientSettings.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/PlatformClientSettings.java
@@ -5,14 +5,14 @@
  *
  * @param operationTimeoutMillis the deadline of each operation, waiting and retries included
  * @param readAttemptTimeoutMillis the time limit of one attempt of an operation that is retried
- * @param maxAttempts attempts of an operation that may be repeated blindly
+ * @param attemptLimit attempts of an operation that may be repeated blindly
  * @param maxInFlight operations sent and not answered yet
  * @param maxWaiting operations that wait for one in flight to end
  */
 public record PlatformClientSettings(
     long operationTimeoutMillis,
     long readAttemptTimeoutMillis,
-    int maxAttempts,
+    int attemptLimit,
     int maxInFlight,
     int maxWaiting) {
   /** The limits that a node uses. */
@@ -29,14 +29,14 @@
   /** These limits with another deadline of each operation. */
   public PlatformClientSettings withOperationTimeoutMillis(long millis) {
     return new PlatformClientSettings(
-        millis, Math.min(millis, readAttemptTimeoutMillis), maxAttempts, maxInFlight, maxWaiting);
+        millis, Math.min(millis, readAttemptTimeoutMillis), attemptLimit, maxInFlight, maxWaiting);
   }
 
   public PlatformClientSettings {
     if (operationTimeoutMillis < 1 || readAttemptTimeoutMillis < 1) {
       throw new IllegalArgumentException("timeouts must be at least 1 ms");
     }
-    if (maxAttempts < 1 || maxInFlight < 1 || maxWaiting < 0) {
+    if (attemptLimit < 1 || maxInFlight < 1 || maxWaiting < 0) {
       throw new IllegalArgumentException("limits must be positive");
     }
   }
--- a/core/src/main/java/dev/arbutusroad/core/store/StoreOperations.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/StoreOperations.java
@@ -139,7 +139,7 @@
       }
       long backoffMillis = jitteredBackoffMillis(attempts);
       if (isRepeatable()
-          && attempts < settings.maxAttempts()
+          && attempts < settings.attemptLimit()
           && remainingNanos() > TimeUnit.MILLISECONDS.toNanos(backoffMillis)
           && !breaker.refuses()) {
         metrics.retried(operation);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -188,7 +188,7 @@
     long now = ticker.nanos();
     long remainingNanos = call.deadlineNanos() - now;
     if (remainingNanos <= 0) {
-      return refuse(call.received(), Failure.of(ResultCode.EXPIRED_IN_QUEUE));
+      return refuse(call.received(), call.finalFailure(Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
     }
     Optional<Member> picked =
         targets.pick(members.get(), call.received().service(), call.tried(), now);
@@ -275,7 +275,7 @@
     boolean stop = decision.action() == RetryDecision.Action.STOP;
     if (stop) {
       answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
-      return refuse(call.received(), failure);
+      return refuse(call.received(), call.finalFailure(failure));
     }
     answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
     if (decision.action() == RetryDecision.Action.REROUTE) {
@@ -289,7 +289,7 @@
   /** Tries again after a pause, in which the request may have become a suspect. */
   private Single<StreamingHttpResponse> resume(OutgoingCall call, Failure failure) {
     return overload.isSuspect(call.fingerprint())
-        ? refuse(call.received(), failure)
+        ? refuse(call.received(), call.finalFailure(failure))
         : attempt(call);
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
@@ -4,6 +4,7 @@
 import dev.arbutusroad.core.edge.AnswerVerdict;
 import dev.arbutusroad.core.edge.CallProtocol;
 import dev.arbutusroad.core.edge.TargetCall;
+import dev.arbutusroad.core.fatal.FatalRequests;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.time.Ticker;
@@ -17,6 +18,10 @@
 
 /** Takes calls from other nodes and runs them on the local target. */
 final class Gate {
+  /** Longer than it takes to conclude from broken connections whether the target has died. */
+  private static final long DEATH_EVIDENCE_NANOS =
+      FatalRequests.GRACE_NANOS + TimeUnit.MILLISECONDS.toNanos(10);
+
   private final TargetLease lease;
   private final InboundCalls inbound;
   private final Hop hop;
@@ -157,10 +162,45 @@
             body,
             remaining,
             ResultCode.TARGET_DIED)
-        .map(outcome -> answer(call, inboundCall, slot, outcome))
+        .flatMap(
+            outcome ->
+                isBroken(outcome)
+                    ? broken(call, inboundCall, slot, target, (HopOutcome.Failed) outcome)
+                    : Single.succeeded(answer(call, inboundCall, slot, outcome)))
         .beforeCancel(() -> inbound.end(inboundCall));
   }
 
+  private static boolean isBroken(HopOutcome outcome) {
+    return outcome instanceof HopOutcome.Failed failed
+        && failed.failure().code() == ResultCode.TARGET_DIED;
+  }
+
+  /**
+   * Tells a target that has died from one that has lost an answer: a call whose answer is lost may
+   * be repeated at once, one that may have crashed its target must wait for the news of it.
+   */
+  private Single<StreamingHttpResponse> broken(
+      ReceivedCall call,
+      InboundCall inboundCall,
+      GateAdmission.Slot slot,
+      LocalTarget target,
+      HopOutcome.Failed failed) {
+    inbound.end(inboundCall);
+    slot.broken();
+    return hop.pause(target.address(), DEATH_EVIDENCE_NANOS)
+        .concat(
+            Single.fromSupplier(
+                () ->
+                    failure(
+                        call,
+                        inboundCall,
+                        slot.isImplicated()
+                            ? failed.failure()
+                            : new Failure(
+                                ResultCode.OUTCOME_UNKNOWN,
+                                "the target lives but has lost the answer"))));
+  }
+
   private void addTargetHeaders(
       HttpHeaders headers,
       ReceivedCall call,
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
@@ -198,6 +198,12 @@
       release(CallOutcome.IGNORED, false);
     }
 
+    /** Whether the call may have crashed its target. */
+    boolean isImplicated() {
+      fatal.settle(ticker.nanos());
+      return fatal.isImplicated(fingerprint, ticker.nanos());
+    }
+
     /** The connection to the target broke while it had the request. */
     void broken() {
       if (!released) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
@@ -5,6 +5,7 @@
 import dev.arbutusroad.core.membership.Member;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
+import dev.arbutusroad.core.result.RunState;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -111,8 +112,19 @@
     reroutes++;
   }
 
+  /** Notes a failed attempt. Once the request may have run, no later refusal changes that. */
   void failed(Failure failure) {
-    lastFailure = Optional.of(failure);
+    boolean mayHaveRun =
+        lastFailure.filter(last -> last.code().runState() != RunState.NOT_RUN).isPresent();
+    if (!mayHaveRun || failure.code().runState() != RunState.NOT_RUN) {
+      lastFailure = Optional.of(failure);
+    }
+  }
+
+  /** What the caller is told when no attempt is made after a failure. */
+  Failure finalFailure(Failure failure) {
+    failed(failure);
+    return lastFailure.orElseThrow();
   }
 
   /**
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -82,9 +82,9 @@
     limit.announce(slots);
   }
 
-  /** Whether a request is suspected of crashing its targets. */
+  /** Whether a request is known or suspected of crashing its targets. */
   boolean isSuspect(Fingerprint fingerprint) {
-    return fatal.isSuspect(fingerprint, ticker.nanos());
+    return fatal.isImplicated(fingerprint, ticker.nanos());
   }
 
   /** Takes in the level that a response carried. */
--- a/node/src/test/java/dev/arbutusroad/node/datapath/DataPathTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/DataPathTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +25,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class DataPathTest {
+  private static final String SHED =
+      "HTTP/1.1 503 x\r\narbutus-result: 103 SHED\r\ncontent-length: 0\r\n\r\n";
+
   private static final String OK = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
   private final Closer closer = new Closer();
@@ -131,6 +135,74 @@
     }
   }
 
+  /** Guards against "not run" of a call that ran at one target and was refused by the next. */
+  @Test
+  void refusalAfterALostAnswerDoesNotSayThatTheCallHasNotRun() throws Exception {
+    RawTarget losing = target((head, in, out) -> false);
+    RawTarget refusing =
+        target(
+            (head, in, out) -> {
+              RawTarget.write(out, SHED);
+              return true;
+            });
+    TwoNodes nodes = closer.register(new TwoNodes(TwoNodes.policy(false, 1, 5_000)));
+    nodes.member("orders", losing.address());
+    nodes.member("orders", refusing.address());
+    InetSocketAddress entry = nodes.entry();
+
+    for (int i = 0; i < 10; i++) {
+      int lost = losing.heads().size();
+      HttpResponse<String> answer = get(entry, "/" + i);
+      if (losing.heads().size() > lost) {
+        assertThat(answer.headers().firstValue("arbutus-run")).contains("unknown");
+      }
+    }
+    assertThat(losing.heads()).isNotEmpty();
+  }
+
+  /** Guards against a target that is taken as dead, and waited for, because it lost an answer. */
+  @Test
+  void lostAnswerOfATargetThatLivesIsNotADeath() throws Exception {
+    CountDownLatch lost = new CountDownLatch(1);
+    CountDownLatch slowArrived = new CountDownLatch(1);
+    RawTarget target =
+        target(
+            (head, in, out) -> {
+              if (head.startsWith("GET /lost ")) {
+                return false;
+              }
+              slowArrived.countDown();
+              awaitQuietly(lost);
+              return ok(out);
+            });
+    InetSocketAddress entry = entryTo(target, false, 0);
+    CompletableFuture<HttpResponse<String>> slow =
+        CompletableFuture.supplyAsync(() -> getUnchecked(entry, "/slow"));
+    awaitQuietly(slowArrived);
+
+    assertThat(get(entry, "/lost").headers().firstValue("arbutus-result"))
+        .contains("200 OUTCOME_UNKNOWN");
+
+    lost.countDown();
+    assertThat(slow.get().statusCode()).isEqualTo(200);
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private HttpResponse<String> getUnchecked(InetSocketAddress entry, String path) {
+    try {
+      return get(entry, path);
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Guards against callers that raise their importance or allowance with internal headers. */
   @Test
   void internalHeadersOfClientsAreRemoved() throws Exception {
--- a/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStandIn.java
+++ b/tools/src/main/java/dev/arbutusroad/tools/platform/PlatformStandIn.java
@@ -182,9 +182,9 @@
     if (faults.take(Kind.FORGET).isPresent()) {
       return Single.succeeded(responses.newResponse(HttpResponseStatus.GONE));
     }
-    long after = Long.parseLong(request.queryParameter("after"));
-    long waitMillis = Long.parseLong(request.queryParameter("waitMs"));
-    String prefix = RowsJson.key(request.queryParameter("table"), "");
+    long after = Long.parseLong(request.queryParameter(RowsJson.AFTER_PARAMETER));
+    long waitMillis = Long.parseLong(request.queryParameter(RowsJson.WAIT_PARAMETER));
+    String prefix = RowsJson.key(request.queryParameter(RowsJson.TABLE_PARAMETER), "");
     return awaitChange(context, responses, prefix, after, waitMillis);
   }
 
@@ -223,12 +223,13 @@
   }
 
   private HttpResponse rows(HttpRequest request, HttpResponseFactory responses) {
-    String table = request.queryParameter("table");
-    String from = Optional.ofNullable(request.queryParameter("from")).orElse("");
+    String table = request.queryParameter(RowsJson.TABLE_PARAMETER);
+    String from = Optional.ofNullable(request.queryParameter(RowsJson.FROM_PARAMETER)).orElse("");
     Optional<String> to =
-        Optional.ofNullable(request.queryParameter("to")).map(end -> RowsJson.key(table, end));
+        Optional.ofNullable(request.queryParameter(RowsJson.TO_PARAMETER))
+            .map(end -> RowsJson.key(table, end));
     int limit =
-        Optional.ofNullable(request.queryParameter("limit"))
+        Optional.ofNullable(request.queryParameter(RowsJson.LIMIT_PARAMETER))
             .map(Integer::valueOf)
             .orElse(DEFAULT_SCAN_LIMIT);
     return json(
