--- a/bench/src/main/java/dev/arbutusroad/bench/overload/RetryBench.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/overload/RetryBench.java
@@ -1,5 +1,6 @@
 package dev.arbutusroad.bench.overload;
 
+import dev.arbutusroad.core.config.CallPolicy;
 import dev.arbutusroad.core.fatal.Fingerprint;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.retry.Backoff;
@@ -32,7 +33,7 @@
   private static final int ALLOWANCE = 4;
   private static final int BODY_BYTES = 1_024;
 
-  private final RetryBudgets budgets = new RetryBudgets();
+  private final RetryBudgets budgets = new RetryBudgets(() -> 1);
   private final RetryRules rules = new RetryRules(new Backoff(new SplittableRandom(1)));
   private final byte[] body = new byte[BODY_BYTES];
   private final FailedAttempt attempt =
@@ -63,7 +64,7 @@
   public RetryDecision failure() {
     RetryAllowance allowance = new RetryAllowance(ALLOWANCE);
     allowance.forfeit(allowance.takeGrant());
-    return rules.decide(attempt, allowance, budgets.budget("orders"));
+    return rules.decide(attempt, CallPolicy.MAX_IMPORTANCE, allowance, budgets.budget("orders"));
   }
 
   /** The fingerprint of a request with a body of 1 KiB. */
--- a/core/src/main/java/dev/arbutusroad/core/retry/RetryBudget.java
+++ b/core/src/main/java/dev/arbutusroad/core/retry/RetryBudget.java
@@ -1,5 +1,7 @@
 package dev.arbutusroad.core.retry;
 
+import dev.arbutusroad.core.config.CallPolicy;
+
 /**
  * Limits the retries to one service to a share of its successes.
  *
@@ -21,6 +23,12 @@
    */
   static final double MAX_TOKENS = 5;
 
+  /** Tokens that important calls leave to critical ones. */
+  private static final double IMPORTANT_RESERVE = 0.5;
+
+  /** Tokens that all other calls leave to important and critical ones. */
+  private static final double NORMAL_RESERVE = 1.5;
+
   private double tokens;
 
   /** The budget of one of a number of nodes, which share the initial tokens. */
@@ -38,14 +46,24 @@
     tokens = Math.min(MAX_TOKENS, tokens + SHARE);
   }
 
-  /** Whether a retry is allowed. */
-  public boolean allows() {
-    return tokens >= 1;
+  /**
+   * Whether a retry is allowed. Less important calls leave a reserve: where targets refuse most
+   * calls, the few retries complete some chains of calls instead of none.
+   */
+  public boolean allows(int importance) {
+    return tokens >= 1 + reserve(importance);
+  }
+
+  private static double reserve(int importance) {
+    if (importance >= CallPolicy.CRITICAL_IMPORTANCE) {
+      return 0;
+    }
+    return importance >= CallPolicy.IMPORTANT_IMPORTANCE ? IMPORTANT_RESERVE : NORMAL_RESERVE;
   }
 
   /** Takes the token of one retry. */
   public void spend() {
-    if (!allows()) {
+    if (tokens < 1) {
       throw new IllegalStateException("the retry budget is empty");
     }
     tokens--;
--- a/core/src/main/java/dev/arbutusroad/core/retry/RetryRules.java
+++ b/core/src/main/java/dev/arbutusroad/core/retry/RetryRules.java
@@ -42,8 +42,13 @@
     this.backoff = backoff;
   }
 
-  /** Decides, and takes what a retry costs from the allowance and the budget. */
-  public RetryDecision decide(FailedAttempt attempt, RetryAllowance allowance, RetryBudget budget) {
+  /**
+   * Decides, and takes what a retry costs from the allowance and the budget.
+   *
+   * @param importance the importance of the call
+   */
+  public RetryDecision decide(
+      FailedAttempt attempt, int importance, RetryAllowance allowance, RetryBudget budget) {
     boolean reroute = REROUTED.contains(attempt.code()) && attempt.reroutes() < MAX_REROUTES;
     long pauseNanos = reroute ? 0 : pauseNanos(attempt);
     for (RetryRule rule : RULES) {
@@ -54,7 +59,7 @@
     if (reroute) {
       return new RetryDecision(RetryDecision.Action.REROUTE, REROUTE, 0);
     }
-    if (!budget.allows()) {
+    if (!budget.allows(importance)) {
       return RetryDecision.stop(BUDGET);
     }
     if (!allowance.spend()) {
--- a/core/src/test/java/dev/arbutusroad/core/retry/RetryRulesTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/retry/RetryRulesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.arbutusroad.core.config.CallPolicy;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.testing.Seeds;
 import java.util.Random;
@@ -72,7 +73,8 @@
             leftMillis * SECOND_NANOS / 1_000);
 
     RetryDecision decision =
-        new RetryRules(new Backoff(new Random(1))).decide(attempt, allowance, budget);
+        new RetryRules(new Backoff(new Random(1)))
+            .decide(attempt, CallPolicy.MAX_IMPORTANCE, allowance, budget);
 
     assertThat(decision.action()).isEqualTo(action);
     assertThat(decision.rule()).isEqualTo(rule);
@@ -81,6 +83,17 @@
     assertThat(budget.tokens()).isEqualTo(tokens - cost);
   }
 
+  /** Guards against the last retries of a service that go to calls which matter less. */
+  @Test
+  void importantCallsKeepAReserve() {
+    RetryBudget budget = new RetryBudget(40);
+    assertThat(budget.tokens()).isEqualTo(1);
+    assertThat(budget.allows(CallPolicy.CRITICAL_IMPORTANCE)).isTrue();
+    assertThat(budget.allows(CallPolicy.IMPORTANT_IMPORTANCE)).isFalse();
+    assertThat(budget.allows(CallPolicy.NORMAL_IMPORTANCE)).isFalse();
+    assertThat(new RetryBudget(1).allows(CallPolicy.MIN_IMPORTANCE)).isTrue();
+  }
+
   /** Guards against retries that go on during an outage, and against pauses without a bound. */
   @Test
   void retriesDecayAndPausesAreBounded() {
@@ -91,7 +104,7 @@
     int retries = 0;
     Backoff backoff = new Backoff(new Random(Seeds.seed("RetryRulesTest")));
     for (int failure = 1; failure <= 100_000; failure++) {
-      if (budget.allows()) {
+      if (budget.allows(CallPolicy.MAX_IMPORTANCE)) {
         budget.spend();
         retries++;
       }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -270,7 +270,10 @@
     call.failed(failure);
     RetryDecision decision =
         overload.decide(
-            describe(call, failure.code()), call.parent().allowance(), call.received().service());
+            describe(call, failure.code()),
+            call.context(0, 0).importance(),
+            call.parent().allowance(),
+            call.received().service());
     log.attemptFailed(call, member, failure, decision.rule(), decision.action().name());
     boolean stop = decision.action() == RetryDecision.Action.STOP;
     if (stop) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -94,8 +94,9 @@
   }
 
   /** Decides on another attempt and takes its cost. */
-  RetryDecision decide(FailedAttempt attempt, RetryAllowance allowance, String service) {
-    RetryDecision decision = rules.decide(attempt, allowance, budgets.budget(service));
+  RetryDecision decide(
+      FailedAttempt attempt, int importance, RetryAllowance allowance, String service) {
+    RetryDecision decision = rules.decide(attempt, importance, allowance, budgets.budget(service));
     decisions.merge(decision.rule(), 1L, Long::sum);
     return decision;
   }
