--- a/cli/src/main/java/dev/arbutusroad/cli/ArbutusDeployment.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/ArbutusDeployment.java
@@ -10,20 +10,23 @@
 import dev.arbutusroad.core.store.VersionSource;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.datapath.ArbutusProtocol;
-import dev.arbutusroad.platform.PlatformClient;
+import dev.arbutusroad.platform.PlatformDeployment;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /** The product's own interface and its own configuration versions. */
 final class ArbutusDeployment implements Deployment {
+  /** The store is the same, whoever writes the configuration. */
+  private final Deployment platform = new PlatformDeployment();
+
   @Override
   public PlatformServices open(
       InetSocketAddress address,
       PlatformClientSettings settings,
       PlatformMetrics metrics,
       Ticker ticker) {
-    return new PlatformClient(address, settings, metrics, ticker);
+    return platform.open(address, settings, metrics, ticker);
   }
 
   @Override
