Continue the feed from the newest version after lost history

The feed now starts and restarts from the newest version that the store states. Ruled out: the loss of the feed itself, which was regained after a second.

--- a/core/src/main/java/dev/arbutusroad/core/store/ChangeFeed.java
+++ b/core/src/main/java/dev/arbutusroad/core/store/ChangeFeed.java
@@ -18,6 +18,12 @@
   CompletableFuture<Either<Failure, Changes>> changes(
       String table, long afterVersion, long waitMillis);
 
+  /**
+   * The newest version of a table, from which a feed can start. A read that is sent after this has
+   * been answered sees every change up to it. The future never completes exceptionally.
+   */
+  CompletableFuture<Either<Failure, Long>> newestVersion(String table);
+
   /**
    * What has changed.
    *
--- a/node/src/main/java/dev/arbutusroad/node/configuration/ConfigurationWatch.java
+++ b/node/src/main/java/dev/arbutusroad/node/configuration/ConfigurationWatch.java
@@ -5,7 +5,6 @@
 import dev.arbutusroad.core.store.ChangeFeed.Changes;
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
@@ -35,10 +34,27 @@
 
   /** Starts to follow the feed. */
   public void start() {
-    next();
+    restart();
   }
 
   /** Steps follow each other, so that one thread at a time uses the state. */
+  private void restart() {
+    if (!closed) {
+      var unused = feed.newestVersion(table).thenAccept(this::restarted);
+    }
+  }
+
+  /** Changes up to the newest version show in a read that starts now, later ones in the feed. */
+  private void restarted(Either<Failure, Long> newest) {
+    if (newest.isLeft()) {
+      lost(newest.getLeft(), this::restart);
+      return;
+    }
+    version = newest.get();
+    onChange.run();
+    next();
+  }
+
   private void next() {
     if (!closed) {
       var unused = feed.changes(table, version, WAIT_MILLIS).thenAccept(this::changed);
@@ -47,14 +63,7 @@
 
   private void changed(Either<Failure, Changes> answer) {
     if (answer.isLeft()) {
-      if (!broken) {
-        Logger.warn("event=configuration_feed_lost reason=\"{}\"", answer.getLeft());
-      }
-      broken = true;
-      onChange.run();
-      Executor later =
-          CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS, Runnable::run);
-      later.execute(this::next);
+      lost(answer.getLeft(), this::next);
       return;
     }
     if (broken) {
@@ -62,20 +71,26 @@
       broken = false;
     }
     Changes changes = answer.get();
-    boolean forgotten = changes.version().isEmpty();
-    if (forgotten) {
+    if (changes.version().isEmpty()) {
       Logger.info("event=configuration_feed_restarted after={}", version);
+      restart();
+      return;
     }
-    version = changes.version().orElse(0L);
-    if (forgotten || !changes.rows().isEmpty()) {
+    version = changes.version().orElseThrow();
+    if (!changes.rows().isEmpty()) {
       onChange.run();
     }
-    if (forgotten) {
-      CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS, Runnable::run)
-          .execute(this::next);
-    } else {
-      next();
+    next();
+  }
+
+  private void lost(Failure failure, Runnable step) {
+    if (!broken) {
+      Logger.warn("event=configuration_feed_lost reason=\"{}\"", failure);
     }
+    broken = true;
+    onChange.run();
+    CompletableFuture.delayedExecutor(RETRY_MILLIS, TimeUnit.MILLISECONDS, Runnable::run)
+        .execute(step);
   }
 
   @Override
--- a/tools/src/test/java/dev/arbutusroad/tools/platform/PlatformStandInTest.java
+++ b/tools/src/test/java/dev/arbutusroad/tools/platform/PlatformStandInTest.java
@@ -167,6 +167,7 @@
     assertThat(client.changes("claim", 2, 0).join().get().rows()).isEmpty();
     standIn.setFaults(List.of(new PlatformFault(Kind.FORGET, 0, 0, 1)));
     assertThat(client.changes("claim", 1, 0).join().get().version()).isEmpty();
+    assertThat(client.newestVersion("claim").join().get()).isEqualTo(2);
   }
 
   private Either<Failure, CommitResult> commit(Write... writes) {
