--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -79,11 +79,12 @@
    * Sends a call.
    *
    * @param caller the service of the local target, or {@code external} for a client
-   * @param original whether the call is a request of its own, not one made for {@code parent}
-   * @param parent the call that the target is serving; empty for an original request
+   * @param ownRetries whether the call has retries of its own; if not, it spends those of {@code
+   *     parent}
+   * @param parent the call that the target is serving, if it is known
    */
   Single<StreamingHttpResponse> handle(
-      ReceivedCall unrouted, String caller, boolean original, Optional<InboundCall> parent) {
+      ReceivedCall unrouted, String caller, boolean ownRetries, Optional<InboundCall> parent) {
     Optional<PolicyResolver> resolver = policies.get();
     if (resolver.isEmpty()) {
       return refuse(unrouted, Failure.of(ResultCode.NO_CONFIGURATION));
@@ -101,7 +102,8 @@
     }
     return RequestBody.of(received.request())
         .flatMap(
-            body -> begin(open(received, caller, original, parent, resolver.orElseThrow(), body)));
+            body ->
+                begin(open(received, caller, ownRetries, parent, resolver.orElseThrow(), body)));
   }
 
   /** Finds where a call goes; empty if there are routes and none fits. */
@@ -130,7 +132,7 @@
   private OutgoingCall open(
       ReceivedCall received,
       String caller,
-      boolean original,
+      boolean ownRetries,
       Optional<InboundCall> parent,
       PolicyResolver resolver,
       RequestBody body) {
@@ -142,16 +144,16 @@
             parent.map(call -> call.context().originId()).orElseGet(random::nextLong),
             policy.kind(),
             parent
-                .map(call -> childImportance(call, original))
-                .orElse(importance(policy, original)),
+                .map(call -> childImportance(call, ownRetries))
+                .orElse(importance(policy, ownRetries)),
             policy.unrepeatable(),
-            original ? policy.retryAllowance() : 0,
+            ownRetries ? policy.retryAllowance() : 0,
             0,
             caller,
             parent.map(call -> call.context().depth() + 1).orElse(1),
             resolver.version());
     InboundCall payer =
-        original || parent.isEmpty()
+        ownRetries || parent.isEmpty()
             ? new InboundCall("", template, deadlineNanos, parent)
             : parent.orElseThrow();
     return new OutgoingCall(received, policy, payer, template, ticker.nanos(), deadlineNanos, body);
@@ -161,15 +163,15 @@
    * A call for running work keeps its importance; where each call has retries of its own, it goes
    * before new work of that importance, as its refusal would waste what has been done.
    */
-  private static int childImportance(InboundCall parent, boolean original) {
+  private static int childImportance(InboundCall parent, boolean ownRetries) {
     int importance = parent.context().importance();
-    return original ? Math.min(CallPolicy.MAX_IMPORTANCE, importance + CHILD_STEP) : importance;
+    return ownRetries ? Math.min(CallPolicy.MAX_IMPORTANCE, importance + CHILD_STEP) : importance;
   }
 
   /** A target's call without a context is background work unless a rule gives its importance. */
-  private static int importance(CallPolicy policy, boolean original) {
+  private static int importance(CallPolicy policy, boolean ownRetries) {
     boolean byDefault = policy.kind().equals(CallPolicy.DEFAULT_KIND);
-    return original || !byDefault
+    return ownRetries || !byDefault
         ? policy.importance()
         : Math.min(policy.importance(), CallPolicy.NORMAL_IMPORTANCE - 1);
   }
