--- a/core/src/main/java/dev/arbutusroad/core/membership/ExchangeSchedule.java
+++ b/core/src/main/java/dev/arbutusroad/core/membership/ExchangeSchedule.java
@@ -22,6 +22,7 @@
   private long nextNanos;
   private long nextSeedNanos;
   private long nextUnknownNanos;
+  private int freshSeeds;
   private boolean completed;
   private boolean retrying;
 
@@ -42,6 +43,7 @@
 
   void seedsFromTable(List<InetSocketAddress> addresses) {
     seeds.fromTable(addresses);
+    freshSeeds = addresses.size();
   }
 
   boolean hasCompleted() {
@@ -50,6 +52,11 @@
 
   /** Starts an exchange with a random member and, less often, with an unknown seed. */
   void step(long nowNanos) {
+    if (freshSeeds > 0) {
+      // Members that started together may have formed groups that do not know each other.
+      freshSeeds--;
+      unknownSeed().ifPresent(outbox::exchange);
+    }
     if (nowNanos - nextSeedNanos >= 0) {
       boolean alone = table.livePeerCount() == 0;
       nextSeedNanos =
--- a/node/src/main/java/dev/arbutusroad/node/membership/SeedRows.java
+++ b/node/src/main/java/dev/arbutusroad/node/membership/SeedRows.java
@@ -25,14 +25,18 @@
 /**
  * The rows {@code seed/<domain>/<n>} of the table service.
  *
- * <p>They are read at the start and while no other member is known, and are written by the members
- * that {@link SeedRules} picks. Failures of the table only delay the next attempt.
+ * <p>They are read while the installation forms, while no other member is known, and by the members
+ * that {@link SeedRules} picks, each time they write their own. So groups of members that have not
+ * found each other merge. Failures of the table only delay the next attempt.
  */
 final class SeedRows {
   private static final long WRITE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(30);
 
   private static final long READ_RETRY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** Members that start together have written and read all their rows within this time. */
+  private static final long FORMING_NANOS = TimeUnit.SECONDS.toNanos(12);
+
   /** Three rows for each of 11 failure domains, and room for domains that were renamed. */
   private static final int SCAN_LIMIT = 128;
 
@@ -40,6 +44,7 @@
   private final Consumer<List<InetSocketAddress>> found;
   private final Consumer<Runnable> executor;
   private final Map<String, Long> versions = new HashMap<>();
+  private final long startedNanos;
   private long nextReadNanos;
   private long nextWriteNanos;
   private boolean reading;
@@ -58,6 +63,7 @@
     this.table = table;
     this.found = found;
     this.executor = executor;
+    startedNanos = nowNanos;
     nextReadNanos = nowNanos;
     // Members that start together must not all write before they have found each other.
     nextWriteNanos =
@@ -68,19 +74,24 @@
 
   /** Starts the reads and writes that are due. */
   void step(long nowNanos, MemberView view, Member self) {
-    boolean alone = view.all().size() <= 1;
-    if (alone && !reading && nowNanos - nextReadNanos >= 0) {
+    boolean searching = view.all().size() <= 1 || nowNanos - startedNanos < FORMING_NANOS;
+    if (searching && !reading && nowNanos - nextReadNanos >= 0) {
       nextReadNanos = nowNanos + READ_RETRY_NANOS;
       read();
     }
     if (nowNanos - nextWriteNanos >= 0) {
       nextWriteNanos = nowNanos + WRITE_INTERVAL_NANOS;
+      boolean writes = false;
       List<Member> writers = SeedRules.writers(self.failureDomain(), view.all());
       for (int row = 0; row < writers.size(); row++) {
         if (writers.get(row).id().equals(self.id())) {
+          writes = true;
           write(SeedRules.key(self.failureDomain(), row), text(self));
         }
       }
+      if (writes && !reading) {
+        read();
+      }
     }
   }
 
--- a/node/src/test/java/dev/arbutusroad/node/membership/SeedRowsTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/membership/SeedRowsTest.java
@@ -49,6 +49,37 @@
     assertThat(table.rows.get("seed/south-a/0").value()).isEqualTo("10.1.2.3 7000");
   }
 
+  /** Guards against groups of members that start together and never learn of each other. */
+  @Test
+  void rowsAreReadWhileTheInstallationFormsAlthoughAnotherMemberIsKnown() {
+    FakeTable table = new FakeTable();
+    List<InetSocketAddress> found = new ArrayList<>();
+    SeedRows rows = new SeedRows(table, 0, found::addAll, Runnable::run);
+    rows.step(0, new Pair(), SELF);
+    table.rows.put("seed/south-b/0", new Row("seed/south-b/0", "10.1.2.4 7000", 1));
+
+    rows.step(TimeUnit.SECONDS.toNanos(3), new Pair(), SELF);
+
+    assertThat(found).contains(Addresses.of("10.1.2.4", 7000));
+  }
+
+  private record Pair() implements MemberView {
+    @Override
+    public long revision() {
+      return 1;
+    }
+
+    @Override
+    public List<Member> serving(String service) {
+      return List.of();
+    }
+
+    @Override
+    public List<Member> all() {
+      return List.of(SELF, SELF);
+    }
+  }
+
   private static void run(SeedRows rows, int fromSecond, int toSecond) {
     for (int second = fromSecond; second < toSecond; second++) {
       rows.step(TimeUnit.SECONDS.toNanos(second), new Alone(), SELF);
