--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
@@ -0,0 +1,42 @@
+package dev.arbutusroad.node.datapath;
+
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Body;
+import dev.arbutusroad.node.http.Exchange;
+import io.netty.handler.codec.http.HttpRequest;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+
+/** An exchange whose answer gets headers added before it is sent. */
+record AnnotatedExchange(Exchange exchange, Consumer<Answer> annotation) implements Exchange {
+  @Override
+  public HttpRequest request() {
+    return exchange.request();
+  }
+
+  @Override
+  public OptionalLong bodyLength() {
+    return exchange.bodyLength();
+  }
+
+  @Override
+  public Body body() {
+    return exchange.body();
+  }
+
+  @Override
+  public void answer(Answer answer) {
+    annotation.accept(answer);
+    exchange.answer(answer);
+  }
+
+  @Override
+  public boolean isEnded() {
+    return exchange.isEnded();
+  }
+
+  @Override
+  public void whenEnded(Consumer<Boolean> listener) {
+    exchange.whenEnded(listener);
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnnouncementService.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnouncementService.java
@@ -4,23 +4,20 @@
 import dev.arbutusroad.core.edge.AnnouncementProtocol.Announcement;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.buffer.netty.BufferAllocators;
-import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpServiceContext;
-import io.servicetalk.http.api.StreamingHttpRequest;
-import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.http.api.StreamingHttpResponseFactory;
-import io.servicetalk.http.api.StreamingHttpService;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.node.http.ExchangeHandler;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vavr.control.Either;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.tinylog.Logger;
 
 /** Serves the listener on which the local target announces itself. */
-public final class AnnouncementService implements StreamingHttpService {
+public final class AnnouncementService implements ExchangeHandler {
   private static final int MAX_BODY_BYTES = 16_384;
 
   private final DataPath dataPath;
@@ -32,38 +29,19 @@
   }
 
   @Override
-  public Single<StreamingHttpResponse> handle(
-      HttpServiceContext context,
-      StreamingHttpRequest request,
-      StreamingHttpResponseFactory factory) {
-    String method = request.method().name();
-    String path = request.rawPath();
-    return request
-        .payloadBody()
-        .collect(ByteArrayOutputStream::new, AnnouncementService::append)
-        .map(body -> answer(method, path, body, factory));
+  public void handle(Exchange exchange) {
+    SmallBody.read(exchange, MAX_BODY_BYTES, body -> exchange.answer(answer(exchange, body)));
   }
 
-  /** Keeps one byte beyond the limit, which tells a body that is too long. */
-  private static ByteArrayOutputStream append(ByteArrayOutputStream all, Buffer part) {
-    byte[] bytes = new byte[Math.min(part.readableBytes(), MAX_BODY_BYTES + 1 - all.size())];
-    part.readBytes(bytes);
-    all.writeBytes(bytes);
-    return all;
-  }
-
-  private StreamingHttpResponse answer(
-      String method,
-      String path,
-      ByteArrayOutputStream body,
-      StreamingHttpResponseFactory factory) {
+  private Answer answer(Exchange exchange, Optional<String> body) {
+    String path = exchange.request().uri();
     Either<Failure, Announcement> read =
-        body.size() > MAX_BODY_BYTES
-            ? Either.left(new Failure(ResultCode.BAD_REQUEST, "the report is too long"))
-            : protocol.read(method, path, body.toString(StandardCharsets.UTF_8));
+        body.map(text -> protocol.read(exchange.request().method().name(), path, text))
+            .orElseGet(
+                () -> Either.left(new Failure(ResultCode.BAD_REQUEST, "the report is too long")));
     if (read.isLeft()) {
       Logger.warn("event=announcement_refused path={} reason=\"{}\"", path, read.getLeft());
-      return answer(factory.badRequest(), "");
+      return answer(HttpResponseStatus.BAD_REQUEST, "");
     }
     Announcement announcement = read.get();
     if (announcement instanceof Announcement.Reported reported) {
@@ -71,17 +49,13 @@
     } else {
       dataPath.left(((Announcement.Left) announcement).instance());
     }
-    return answer(factory.ok(), protocol.acknowledgement());
+    return answer(HttpResponseStatus.OK, protocol.acknowledgement());
   }
 
-  private static StreamingHttpResponse answer(StreamingHttpResponse response, String body) {
-    response
-        .headers()
-        .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length()));
-    return body.isEmpty()
-        ? response
-        : response.payloadBody(
-            Publisher.from(BufferAllocators.PREFER_HEAP_ALLOCATOR.fromUtf8(body)));
+  private static Answer answer(HttpResponseStatus status, String body) {
+    Answer answer =
+        Answer.of(status, Unpooled.wrappedBuffer(body.getBytes(StandardCharsets.UTF_8)));
+    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    return answer;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnswerRecorder.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnswerRecorder.java
@@ -2,60 +2,56 @@
 
 import dev.arbutusroad.core.claim.RecordedAnswer;
 import dev.arbutusroad.node.claim.ClaimHandle;
-import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.concurrent.api.TerminalSignalConsumer;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.StreamingHttpResponse;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.BodyEnd;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.stream.StreamSupport;
 
 /** Copies the answer to a claimed order while it passes, up to the size that a claim can hold. */
-final class AnswerRecorder implements TerminalSignalConsumer {
+final class AnswerRecorder {
   private final ClaimHandle handle;
   private final int status;
   private final List<RecordedAnswer.Header> headers;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private boolean tooLarge;
 
-  AnswerRecorder(StreamingHttpResponse response, ClaimHandle handle) {
+  private AnswerRecorder(Answer answer, ClaimHandle handle) {
     this.handle = handle;
-    this.status = response.status().code();
+    this.status = answer.status();
     this.headers =
-        StreamSupport.stream(response.headers().spliterator(), false)
-            .filter(header -> isRecorded(header.getKey().toString()))
-            .map(AnswerRecorder::header)
+        answer.headers().entries().stream()
+            .filter(header -> isRecorded(header.getKey()))
+            .map(header -> new RecordedAnswer.Header(header.getKey(), header.getValue()))
             .toList();
   }
 
-  void add(Buffer part) {
+  /** Records an answer and reports how the order ended when the answer has ended. */
+  static void record(Answer answer, ClaimHandle handle) {
+    AnswerRecorder recorder = new AnswerRecorder(answer, handle);
+    answer.body().observe(recorder::add);
+    answer.body().whenEnded(recorder::ended);
+  }
+
+  private void add(ByteBuf part) {
     tooLarge |= body.size() + part.readableBytes() > RecordedAnswer.MAX_BODY_BYTES;
     if (!tooLarge) {
-      byte[] bytes = new byte[part.readableBytes()];
-      part.getBytes(part.readerIndex(), bytes);
-      body.writeBytes(bytes);
+      body.writeBytes(ByteBufUtil.getBytes(part));
     }
   }
 
-  @Override
-  public void onComplete() {
-    Optional<RecordedAnswer> answer =
-        tooLarge ? Optional.empty() : RecordedAnswer.of(status, headers, body.toByteArray());
-    answer.ifPresentOrElse(handle::done, handle::doneWithoutAnswer);
-  }
-
-  /** The target failed within its answer. */
-  @Override
-  public void onError(Throwable error) {
-    handle.outcomeUnknown();
-  }
-
-  /** The caller went away; the target is cancelled and may not have finished the order. */
-  @Override
-  public void cancel() {
-    handle.outcomeUnknown();
+  /** An answer that broke off, or whose caller went away, says nothing of the order. */
+  private void ended(BodyEnd end) {
+    if (end instanceof BodyEnd.Completed) {
+      Optional<RecordedAnswer> answer =
+          tooLarge ? Optional.empty() : RecordedAnswer.of(status, headers, body.toByteArray());
+      answer.ifPresentOrElse(handle::done, handle::doneWithoutAnswer);
+    } else {
+      handle.outcomeUnknown();
+    }
   }
 
   /** The length is that of the recorded body, and the system's headers belong to one call only. */
@@ -63,8 +59,4 @@
     return !name.equalsIgnoreCase(HttpHeaderNames.CONTENT_LENGTH.toString())
         && !name.regionMatches(true, 0, ArbutusHeaders.PREFIX, 0, ArbutusHeaders.PREFIX.length());
   }
-
-  private static RecordedAnswer.Header header(Map.Entry<CharSequence, CharSequence> header) {
-    return new RecordedAnswer.Header(header.getKey().toString(), header.getValue().toString());
-  }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Answers.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Answers.java
@@ -4,13 +4,11 @@
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.RunState;
 import dev.arbutusroad.core.retry.RetryAdvice;
-import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.buffer.netty.BufferAllocators;
-import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpResponseStatus;
-import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import dev.arbutusroad.node.http.Answer;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
 
 /** Answers that a node makes itself. */
 final class Answers {
@@ -23,20 +21,20 @@
   }
 
   /** The answer that tells a caller of a failure and whether its request may have run. */
-  StreamingHttpResponse failure(StreamingHttpResponseFactory factory, Failure failure) {
-    HttpResponseStatus status = HttpResponseStatus.of(protocol.status(failure), "");
-    StreamingHttpResponse response = factory.newResponse(status);
-    Buffer body = BufferAllocators.PREFER_HEAP_ALLOCATOR.fromUtf8(failure + "\n");
+  Answer failure(Failure failure) {
+    byte[] body = (failure + "\n").getBytes(StandardCharsets.UTF_8);
+    Answer answer =
+        Answer.of(
+            HttpResponseStatus.valueOf(protocol.status(failure)), Unpooled.wrappedBuffer(body));
     String run =
         failure.code().runState() == RunState.NOT_RUN ? ArbutusHeaders.RUN_NOT_RUN : "unknown";
-    response
+    answer
         .headers()
         .set(ArbutusHeaders.RESULT, failure.code().number() + " " + failure.code())
         .set(ArbutusHeaders.RUN, run)
-        .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
-        .set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.readableBytes()));
+        .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     protocol.describe(
-        new StreamingHeaderFields(response.headers()), failure, advice.pause(failure.code()));
-    return response.payloadBody(Publisher.from(body));
+        new MessageHeaderFields(answer.headers()), failure, advice.pause(failure.code()));
+    return answer;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusHeaders.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusHeaders.java
@@ -1,6 +1,6 @@
 package dev.arbutusroad.node.datapath;
 
-import io.servicetalk.http.api.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -55,8 +55,7 @@
 
   /** Reads a header as text. */
   static Optional<String> text(HttpHeaders headers, String name) {
-    CharSequence value = headers.get(name);
-    return value == null ? Optional.empty() : Optional.of(value.toString());
+    return Optional.ofNullable(headers.get(name));
   }
 
   /** Reads a header as a number that is not negative; empty if it is absent or malformed. */
@@ -80,23 +79,25 @@
   /** Removes every header of the system, so that only what a node sets itself is passed on. */
   static void removeAll(HttpHeaders headers) {
     List<String> names = new ArrayList<>(2);
-    for (Map.Entry<CharSequence, CharSequence> header : headers) {
+    for (Map.Entry<String, String> header : headers) {
       if (startsWithPrefix(header.getKey())) {
-        names.add(header.getKey().toString());
+        names.add(header.getKey());
       }
     }
     names.forEach(headers::remove);
   }
 
   /** The name in lower case if the header is a label, without the prefix. */
-  static Optional<String> labelName(CharSequence header) {
-    String name = header.toString().toLowerCase(Locale.ROOT);
+  static Optional<String> labelName(String header) {
+    if (!startsWithPrefix(header)) {
+      return Optional.empty();
+    }
+    String name = header.toLowerCase(Locale.ROOT);
     boolean isLabel = name.startsWith(LABEL_PREFIX) && name.length() > LABEL_PREFIX.length();
     return isLabel ? Optional.of(name.substring(LABEL_PREFIX.length())) : Optional.empty();
   }
 
-  private static boolean startsWithPrefix(CharSequence name) {
-    return name.length() >= PREFIX.length()
-        && PREFIX.regionMatches(true, 0, name.toString(), 0, PREFIX.length());
+  private static boolean startsWithPrefix(String name) {
+    return PREFIX.regionMatches(true, 0, name, 0, PREFIX.length());
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallTracker.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTracker.java
@@ -1,8 +1,6 @@
 package dev.arbutusroad.node.datapath;
 
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.concurrent.api.TerminalSignalConsumer;
-import io.servicetalk.http.api.StreamingHttpResponse;
+import dev.arbutusroad.node.http.Exchange;
 
 /** Counts calls from their first byte to the last byte of their answer, for a graceful stop. */
 final class CallTracker {
@@ -10,18 +8,14 @@
   private long started;
   private long cut;
 
-  /** Counts a call until its answer has been written, failed or been cancelled. */
-  Single<StreamingHttpResponse> track(Single<StreamingHttpResponse> call) {
-    return Single.defer(
-        () -> {
-          inProgress++;
-          started++;
-          Once end = new Once(() -> inProgress--);
-          return call.map(
-                  response -> response.transformPayloadBody(body -> body.beforeFinally(end)))
-              .beforeOnError(error -> end.run())
-              .beforeCancel(end::run)
-              .shareContextOnSubscribe();
+  /** Counts a call until its answer has been written or its caller has gone. */
+  void track(Exchange exchange) {
+    inProgress++;
+    started++;
+    exchange.whenEnded(
+        complete -> {
+          inProgress--;
+          cut += complete ? 0 : 1;
         });
   }
 
@@ -37,37 +31,4 @@
   long cut() {
     return cut;
   }
-
-  private final class Once implements TerminalSignalConsumer {
-    private final Runnable action;
-    private boolean done;
-
-    Once(Runnable action) {
-      this.action = action;
-    }
-
-    void run() {
-      if (!done) {
-        done = true;
-        action.run();
-      }
-    }
-
-    @Override
-    public void onComplete() {
-      run();
-    }
-
-    @Override
-    public void onError(Throwable error) {
-      cut++;
-      run();
-    }
-
-    @Override
-    public void cancel() {
-      cut++;
-      run();
-    }
-  }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -11,14 +11,13 @@
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.claim.Claims;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.EventLoopThread;
+import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.node.http.HttpConnections;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpHeaderValues;
-import io.servicetalk.http.api.HttpServiceContext;
-import io.servicetalk.http.api.StreamingHttpRequest;
-import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
@@ -27,12 +26,11 @@
 
 /** The data path of one node: its gate, its exit and the state that they share. */
 public final class DataPath implements AutoCloseable {
-  private final EventLoopGuard guard = new EventLoopGuard();
+  private final EventLoopThread thread;
   private final TargetLease lease;
   private final Answers answers;
   private final DataPathOptions options;
   private final CallTracker tracker = new CallTracker();
-  private final ClientAbort abort;
   private final Ticker ticker;
   private final TargetListener listener;
   private final ContextCodec codec;
@@ -49,12 +47,14 @@
   /**
    * Creates the data path.
    *
+   * @param thread owns the state of the data path
    * @param policies the configuration in force, empty while there is none
    * @param members the newest member view
    * @param duties the node's other duties
    * @param claims claims unrepeatable orders before they run
    */
   public DataPath(
+      EventLoopThread thread,
       DataPathOptions options,
       Supplier<Optional<PolicyResolver>> policies,
       Supplier<MemberView> members,
@@ -62,6 +62,7 @@
       NodeDuties duties,
       Claims claims,
       Ticker ticker) {
+    this.thread = thread;
     this.options = options;
     this.ticker = ticker;
     this.listener = listener;
@@ -71,13 +72,12 @@
     answers = new Answers(options.protocol(), new RetryAdvice(random.split()));
     CallLog log = new CallLog(options.log(), ticker);
     lease = new TargetLease(options.targetLeaseMillis());
-    abort = new ClientAbort(answers);
     codec = new ContextCodec(options.sharedSecret());
-    connections = new HttpConnections(ticker);
+    connections = new HttpConnections(thread, ticker);
     targets =
         new TargetTable(options.region(), options.failureDomain(), random.split(), ticker.nanos());
     inbound = new InboundCalls(tokens);
-    Hop hop = new Hop(connections, ticker);
+    Hop hop = new Hop(connections);
     overload = new OverloadControl(ticker, random.split(), () -> members.get().all().size());
     gate =
         new Gate(
@@ -108,44 +108,36 @@
   }
 
   /** Handles a request on the caller listener: from another node, or from a client. */
-  public Single<StreamingHttpResponse> handleCaller(
-      HttpServiceContext connection,
-      StreamingHttpRequest request,
-      StreamingHttpResponseFactory factory) {
-    guard.check();
-    Single<StreamingHttpResponse> answer =
-        abort.watch(connection, request, factory, () -> caller(request, factory));
-    return draining ? answer.map(DataPath::withNotice) : answer;
-  }
-
-  private Single<StreamingHttpResponse> caller(
-      StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
-    ReceivedCall call = ReceivedCall.of(request, factory, options.protocol());
-    HopByHopHeaders.remove(request.headers());
+  public void handleCaller(Exchange exchange) {
+    thread.check();
+    ReceivedCall call = ReceivedCall.of(exchange, options.protocol());
     Optional<CallContext> context = call.context().flatMap(codec::decode);
+    Exchange noticed = draining ? new AnnotatedExchange(exchange, DataPath::addNotice) : exchange;
     if (duties.isMemberViewStale()) {
-      return Single.succeeded(paused(factory, context));
+      noticed.answer(paused(context));
+      return;
     }
+    tracker.track(exchange);
+    ReceivedCall noticedCall = call.on(noticed);
     if (context.isPresent()) {
-      return tracker.track(gate.handle(call, newerPolicy.apply(call, context.orElseThrow())));
+      gate.handle(noticedCall, newerPolicy.apply(call, context.orElseThrow()));
+    } else {
+      exit.handle(noticedCall, CallAttributes.EXTERNAL, true, Optional.empty());
     }
-    return tracker.track(exit.handle(call, CallAttributes.EXTERNAL, true, Optional.empty()));
   }
 
   /** Tells a client that this node stops: a connection that it opens later may be reset. */
-  private static StreamingHttpResponse withNotice(StreamingHttpResponse response) {
-    response.headers().set(ArbutusHeaders.LEAVING, "true");
-    return response;
+  private static void addNotice(Answer answer) {
+    answer.headers().set(ArbutusHeaders.LEAVING, "true");
   }
 
   /** The answer of a node that was paused: it does not know who has taken over from it. */
-  private StreamingHttpResponse paused(
-      StreamingHttpResponseFactory factory, Optional<CallContext> context) {
-    Failure failure = new Failure(ResultCode.NOT_READY, "the node was paused and rejoins");
-    StreamingHttpResponse response = answers.failure(factory, failure);
+  private Answer paused(Optional<CallContext> context) {
+    Answer answer =
+        answers.failure(new Failure(ResultCode.NOT_READY, "the node was paused and rejoins"));
     context.ifPresent(
-        from -> response.headers().set(ArbutusHeaders.UNUSED, Integer.toString(from.grant())));
-    return response;
+        from -> answer.headers().set(ArbutusHeaders.UNUSED, Integer.toString(from.grant())));
+    return answer;
   }
 
   /** Makes the answers of this node. */
@@ -153,44 +145,35 @@
     return answers;
   }
 
-  /** Handles a call that the local target makes. */
-  public Single<StreamingHttpResponse> handleExit(
-      HttpServiceContext connection,
-      StreamingHttpRequest request,
-      StreamingHttpResponseFactory factory) {
-    guard.check();
-    Single<StreamingHttpResponse> answer =
-        abort.watch(connection, request, factory, () -> exit(request, factory));
-    return draining ? answer.map(DataPath::closing) : answer;
-  }
-
-  /** Has the caller open another connection, which it will do at another node. */
-  private static StreamingHttpResponse closing(StreamingHttpResponse response) {
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    return response;
-  }
-
-  private Single<StreamingHttpResponse> exit(
-      StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
-    ReceivedCall call = ReceivedCall.of(request, factory, options.protocol());
-    HopByHopHeaders.remove(request.headers());
+  /** Handles a call that the local target makes, or a client where those use the exit. */
+  public void handleExit(Exchange exchange) {
+    thread.check();
+    Exchange closing = draining ? new AnnotatedExchange(exchange, DataPath::addClose) : exchange;
+    ReceivedCall call = ReceivedCall.of(closing, options.protocol());
+    Optional<InboundCall> parent = call.token().flatMap(inbound::find);
     if (!options.protocol().passesTokens()) {
-      String caller = options.callerService().orElse(CallAttributes.EXTERNAL);
-      Optional<InboundCall> served = call.token().flatMap(inbound::find);
-      return tracker.track(exit.handle(call, caller, true, served));
+      tracker.track(exchange);
+      exit.handle(call, options.callerService().orElse(CallAttributes.EXTERNAL), true, parent);
+      return;
     }
     Optional<LocalTarget> target = lease.target();
     if (target.isEmpty()) {
-      Failure failure = new Failure(ResultCode.NOT_READY, "announce the target before calling");
-      return Single.succeeded(answers.failure(factory, failure));
+      closing.answer(
+          answers.failure(new Failure(ResultCode.NOT_READY, "announce the target before calling")));
+      return;
     }
-    Optional<InboundCall> parent = call.token().flatMap(inbound::find);
-    return tracker.track(exit.handle(call, target.orElseThrow().service(), false, parent));
+    tracker.track(exchange);
+    exit.handle(call, target.orElseThrow().service(), false, parent);
+  }
+
+  /** Has the caller open another connection, which it will do at another node. */
+  private static void addClose(Answer answer) {
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
   }
 
   /** The local target announces itself or renews its announcement. */
   public void announce(LocalTarget target) {
-    guard.check();
+    thread.check();
     if (lease.announce(target, ticker.nanos())) {
       listener.serving(target.service());
     }
@@ -198,7 +181,7 @@
 
   /** Takes in a report of the local target. */
   public void report(TargetReport report) {
-    guard.check();
+    thread.check();
     switch (lease.report(report, ticker.nanos())) {
       case SERVING -> {
         overload.announceSlots(report.slots());
@@ -212,7 +195,7 @@
 
   /** The target of this id leaves without having reported so. */
   public void left(String instance) {
-    guard.check();
+    thread.check();
     if (lease.left(instance)) {
       listener.leaving();
     }
@@ -220,17 +203,16 @@
 
   /** The local target leaves: no new calls, those in progress finish. */
   public void leave() {
-    guard.check();
+    thread.check();
     lease.leave();
     listener.leaving();
   }
 
   /** The node leaves: the gate refuses every later call, those in progress finish. */
   public void drain() {
-    guard.check();
+    thread.check();
     draining = true;
     gate.close();
-    abort.drain();
   }
 
   /** Whether the node has been told to leave. */
@@ -240,13 +222,13 @@
 
   /** Calls received and not answered to the last byte. */
   public int callsInProgress() {
-    guard.check();
+    thread.check();
     return tracker.inProgress();
   }
 
   /** Ends what has expired; to be called every few milliseconds. */
   public void tick() {
-    guard.check();
+    thread.check();
     connections.closeIdle();
     if (lease.expire(ticker.nanos())) {
       targetLost();
@@ -261,13 +243,13 @@
 
   /** Takes in what other nodes know of requests that crash targets. */
   public void mergeFatal(List<FatalEntry> entries) {
-    guard.check();
+    thread.check();
     overload.mergeFatal(entries);
   }
 
   /** Takes what other nodes have to know of requests that crash targets; call after a tick. */
   public List<FatalEntry> takeFatalChanges() {
-    guard.check();
+    thread.check();
     return overload.takeFatalChanges();
   }
 
@@ -278,7 +260,7 @@
 
   /** The state for a dump. */
   public DataPathState state() {
-    guard.check();
+    thread.check();
     return new DataPathState(
         lease.target().map(LocalTarget::service).orElse(""),
         lease.isLeaving(),
@@ -293,6 +275,6 @@
 
   @Override
   public void close() {
-    connections.close();
+    thread.loop().execute(connections::close);
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -13,10 +13,10 @@
 import dev.arbutusroad.core.retry.RetryDecision;
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpHeaders;
-import io.servicetalk.http.api.HttpRequestMethod;
-import io.servicetalk.http.api.StreamingHttpResponse;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Exchange;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
@@ -83,27 +83,30 @@
    *     parent}
    * @param parent the call that the target is serving, if it is known
    */
-  Single<StreamingHttpResponse> handle(
+  void handle(
       ReceivedCall unrouted, String caller, boolean ownRetries, Optional<InboundCall> parent) {
     Optional<PolicyResolver> resolver = policies.get();
     if (resolver.isEmpty()) {
-      return refuse(unrouted, Failure.of(ResultCode.NO_CONFIGURATION));
+      refuse(unrouted, Failure.of(ResultCode.NO_CONFIGURATION));
+      return;
     }
     Optional<ReceivedCall> routed = route(unrouted, resolver.orElseThrow());
     if (routed.isEmpty()) {
-      return refuse(unrouted, Failure.of(ResultCode.NO_ROUTE));
+      refuse(unrouted, Failure.of(ResultCode.NO_ROUTE));
+      return;
     }
     ReceivedCall received = routed.orElseThrow();
     if (received.service().isEmpty()) {
-      return refuse(received, new Failure(ResultCode.BAD_REQUEST, "the request names no service"));
+      refuse(received, new Failure(ResultCode.BAD_REQUEST, "the request names no service"));
+      return;
     }
     if (parent.isPresent() && parent.orElseThrow().context().depth() >= MAX_DEPTH) {
-      return refuse(received, new Failure(ResultCode.BAD_REQUEST, "calls are nested too deep"));
+      refuse(received, new Failure(ResultCode.BAD_REQUEST, "calls are nested too deep"));
+      return;
     }
-    return RequestBody.of(received.request())
-        .flatMap(
-            body ->
-                begin(open(received, caller, ownRetries, parent, resolver.orElseThrow(), body)));
+    RequestBody.read(
+        received.exchange(),
+        body -> begin(open(received, caller, ownRetries, parent, resolver.orElseThrow(), body)));
   }
 
   /** Finds where a call goes; empty if there are routes and none fits. */
@@ -114,19 +117,27 @@
     return resolver
         .routes()
         .orElseThrow()
-        .find(received.host(), received.request().rawPath())
+        .find(received.host(), received.path())
         .map(route -> received.along(route, route.draw(random)));
   }
 
-  private Single<StreamingHttpResponse> begin(OutgoingCall call) {
+  private void begin(OutgoingCall call) {
     ReceivedCall received = call.received();
+    received.exchange().whenEnded(complete -> ended(call, complete));
     Optional<Failure> refusal =
         overload.refusal(
             received.service(),
             call.context(0, 0),
             received.fingerprint(call.body()),
             call.parent());
-    return refusal.map(failure -> refuse(received, failure)).orElseGet(() -> attempt(call));
+    refusal.ifPresentOrElse(failure -> refuse(received, failure), () -> attempt(call));
+  }
+
+  private void ended(OutgoingCall call, boolean complete) {
+    if (!complete) {
+      log.cancelled(call.received());
+      call.cancel();
+    }
   }
 
   private OutgoingCall open(
@@ -186,42 +197,44 @@
     return parent.map(call -> Math.min(call.deadlineNanos(), own)).orElse(own);
   }
 
-  private Single<StreamingHttpResponse> attempt(OutgoingCall call) {
+  private void attempt(OutgoingCall call) {
     long now = ticker.nanos();
     long remainingNanos = call.deadlineNanos() - now;
     if (remainingNanos <= 0) {
-      return refuse(call.received(), call.finalFailure(Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
+      refuse(call.received(), call.finalFailure(Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
+      return;
     }
     Optional<Member> picked =
         targets.pick(members.get(), call.received().service(), call.tried(), now);
     if (picked.isEmpty()) {
       boolean known = !members.get().serving(call.received().service()).isEmpty();
-      return refuse(call.received(), call.failure(known));
+      refuse(call.received(), call.failure(known));
+      return;
     }
-    return send(call, picked.orElseThrow(), now, Duration.ofNanos(remainingNanos));
+    send(call, picked.orElseThrow(), now, Duration.ofNanos(remainingNanos));
   }
 
-  private Single<StreamingHttpResponse> send(
-      OutgoingCall call, Member member, long startedNanos, Duration remaining) {
+  private void send(OutgoingCall call, Member member, long startedNanos, Duration remaining) {
     int grant = call.parent().allowance().takeGrant();
     call.started(member);
     targets.started(member, startedNanos);
     Settlement settlement =
         new Settlement(targets, overload, ticker, call.received().service(), member, startedNanos);
     String context = codec.encode(call.context(grant, remaining.toMillis()));
-    return hop.send(
+    Runnable cancelAttempt =
+        hop.send(
             member.callerAddress(),
             call.received().request(),
             headers -> addNodeHeaders(headers, call, context),
             call.body(),
             remaining,
-            ResultCode.OUTCOME_UNKNOWN)
-        .beforeCancel(
-            () -> {
-              log.cancelled(call.received());
-              settlement.abandoned();
-            })
-        .flatMap(outcome -> settle(call, settlement, grant, outcome));
+            ResultCode.OUTCOME_UNKNOWN,
+            outcome -> settle(call, settlement, grant, outcome));
+    call.onCancel(
+        () -> {
+          cancelAttempt.run();
+          settlement.abandoned();
+        });
   }
 
   private static void addNodeHeaders(HttpHeaders headers, OutgoingCall call, String context) {
@@ -229,8 +242,7 @@
     headers.set(ArbutusHeaders.CONTEXT, context);
   }
 
-  private Single<StreamingHttpResponse> settle(
-      OutgoingCall call, Settlement settlement, int grant, HopOutcome outcome) {
+  private void settle(OutgoingCall call, Settlement settlement, int grant, HopOutcome outcome) {
     RetryAllowance allowance = call.parent().allowance();
     if (outcome instanceof HopOutcome.Failed failed) {
       settlement.refused(failed.failure().code());
@@ -240,24 +252,27 @@
       } else {
         allowance.forfeit(grant);
       }
-      return failedAttempt(call, settlement.member(), failed.failure(), Optional.empty());
+      failedAttempt(call, settlement.member(), failed.failure());
+      return;
     }
-    StreamingHttpResponse response = ((HopOutcome.Answered) outcome).response();
-    ArbutusHeaders.number(response.headers(), ArbutusHeaders.UNUSED)
+    Answer answer = ((HopOutcome.Answered) outcome).answer();
+    ArbutusHeaders.number(answer.headers(), ArbutusHeaders.UNUSED)
         .ifPresentOrElse(
             unused -> allowance.returnUnused(grant, unused), () -> allowance.forfeit(grant));
-    ArbutusHeaders.text(response.headers(), ArbutusHeaders.LEVEL)
+    ArbutusHeaders.text(answer.headers(), ArbutusHeaders.LEVEL)
         .flatMap(AdmissionLevel::parse)
         .ifPresent(level -> overload.learn(call, level));
-    Optional<ResultCode> code = resultCode(response);
+    Optional<ResultCode> code = resultCode(answer);
     if (code.isPresent()) {
       settlement.refused(code.orElseThrow());
-      Failure failure = Failure.of(code.orElseThrow());
-      return failedAttempt(call, settlement.member(), failure, Optional.of(response));
+      answer.body().discard();
+      failedAttempt(call, settlement.member(), Failure.of(code.orElseThrow()));
+      return;
     }
-    log.answered(
-        call, settlement.member(), response.status().code(), ticker.nanos() - call.receivedNanos());
-    return Single.succeeded(settlement.track(clean(response)));
+    log.answered(call, settlement.member(), answer.status(), ticker.nanos() - call.receivedNanos());
+    settlement.track(answer);
+    clean(answer.headers());
+    call.received().exchange().answer(answer);
   }
 
   /** Has the member probed at once: probes in turn would find a dead one much later. */
@@ -267,8 +282,7 @@
     }
   }
 
-  private Single<StreamingHttpResponse> failedAttempt(
-      OutgoingCall call, Member member, Failure failure, Optional<StreamingHttpResponse> answer) {
+  private void failedAttempt(OutgoingCall call, Member member, Failure failure) {
     call.failed(failure);
     RetryDecision decision =
         overload.decide(
@@ -277,36 +291,38 @@
             call.parent().allowance(),
             call.received().service());
     log.attemptFailed(call, member, failure, decision.rule(), decision.action().name());
-    boolean stop = decision.action() == RetryDecision.Action.STOP;
-    if (stop) {
-      answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
-      return refuse(call.received(), call.finalFailure(failure));
-    }
-    answer.ifPresent(response -> response.payloadBody().ignoreElements().subscribe());
-    if (decision.action() == RetryDecision.Action.REROUTE) {
-      call.rerouted();
-      return attempt(call);
+    switch (decision.action()) {
+      case STOP -> refuse(call.received(), call.finalFailure(failure));
+      case REROUTE -> {
+        call.rerouted();
+        attempt(call);
+      }
+      default -> hop.after(decision.pauseNanos(), () -> resume(call, failure));
     }
-    return hop.pause(member.callerAddress(), decision.pauseNanos())
-        .concat(Single.defer(() -> resume(call, failure)));
   }
 
   /** Tries again after a pause, in which the request may have become a suspect. */
-  private Single<StreamingHttpResponse> resume(OutgoingCall call, Failure failure) {
-    return overload.isSuspect(call.fingerprint())
-        ? refuse(call.received(), call.finalFailure(failure))
-        : attempt(call);
+  private void resume(OutgoingCall call, Failure failure) {
+    Exchange exchange = call.received().exchange();
+    if (exchange.isEnded()) {
+      return;
+    }
+    if (overload.isSuspect(call.fingerprint())) {
+      refuse(call.received(), call.finalFailure(failure));
+    } else {
+      attempt(call);
+    }
   }
 
   private FailedAttempt describe(OutgoingCall call, ResultCode code) {
-    HttpRequestMethod method = call.received().request().method();
+    HttpMethod method = call.received().request().method();
     boolean otherTarget =
         members.get().serving(call.received().service()).stream()
             .anyMatch(member -> !call.tried().contains(member.id()));
     return new FailedAttempt(
         code,
         call.policy().unrepeatable(),
-        method.equals(HttpRequestMethod.GET) || method.equals(HttpRequestMethod.HEAD),
+        method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD),
         duties.isConfigurationUnconfirmed(),
         overload.isSuspect(call.fingerprint()),
         call.body().isAvailable(),
@@ -317,23 +333,22 @@
   }
 
   /** Keeps the result headers, which tell the caller what happened, and removes the others. */
-  private static StreamingHttpResponse clean(StreamingHttpResponse response) {
-    response.headers().remove(ArbutusHeaders.UNUSED);
-    response.headers().remove(ArbutusHeaders.LEVEL);
-    response.headers().remove(ArbutusHeaders.LEAVING);
-    HopByHopHeaders.remove(response.headers());
-    return response;
+  private static void clean(HttpHeaders headers) {
+    headers.remove(ArbutusHeaders.UNUSED);
+    headers.remove(ArbutusHeaders.LEVEL);
+    headers.remove(ArbutusHeaders.LEAVING);
+    HopByHopHeaders.remove(headers);
   }
 
-  private static Optional<ResultCode> resultCode(StreamingHttpResponse response) {
-    return ArbutusHeaders.text(response.headers(), ArbutusHeaders.RESULT)
-        .map(value -> value.split(" ", 2)[0])
-        .filter(number -> number.matches("\\d{3}"))
-        .map(number -> CODES.get(Integer.valueOf(number)));
+  /** The result code of an answer that a node made itself. */
+  private static Optional<ResultCode> resultCode(Answer answer) {
+    return ArbutusHeaders.text(answer.headers(), ArbutusHeaders.RESULT)
+        .flatMap(value -> ArbutusHeaders.parseNumber(value.split(" ", 2)[0]))
+        .map(number -> CODES.get(number.intValue()));
   }
 
-  private Single<StreamingHttpResponse> refuse(ReceivedCall received, Failure failure) {
+  private void refuse(ReceivedCall received, Failure failure) {
     log.refused(received, failure, policies.get().map(PolicyResolver::version).orElse(0L));
-    return Single.succeeded(answers.failure(received.factory(), failure));
+    received.exchange().answer(answers.failure(failure));
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ExitService.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ExitService.java
@@ -2,18 +2,16 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpRequestMethod;
-import io.servicetalk.http.api.HttpServiceContext;
-import io.servicetalk.http.api.StreamingHttpRequest;
-import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.http.api.StreamingHttpResponseFactory;
-import io.servicetalk.http.api.StreamingHttpService;
-import java.nio.charset.StandardCharsets;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.node.http.ExchangeHandler;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Optional;
 
 /** Serves the local target: its announcements under {@code /arbutus/} and its outgoing calls. */
-public final class ExitService implements StreamingHttpService {
+public final class ExitService implements ExchangeHandler {
   private static final String ANNOUNCE = "/arbutus/announce";
   private static final String LEAVE = "/arbutus/leave";
   private static final int MAX_ANNOUNCEMENT_BYTES = 4_096;
@@ -25,58 +23,41 @@
   }
 
   @Override
-  public Single<StreamingHttpResponse> handle(
-      HttpServiceContext context,
-      StreamingHttpRequest request,
-      StreamingHttpResponseFactory factory) {
-    boolean post = request.method().equals(HttpRequestMethod.POST);
-    if (post && request.rawPath().equals(ANNOUNCE)) {
-      return announce(request, factory);
-    }
-    if (post && request.rawPath().equals(LEAVE)) {
+  public void handle(Exchange exchange) {
+    boolean post = exchange.request().method().equals(HttpMethod.POST);
+    String path = exchange.request().uri();
+    if (post && path.equals(ANNOUNCE)) {
+      SmallBody.read(exchange, MAX_ANNOUNCEMENT_BYTES, body -> exchange.answer(announce(body)));
+    } else if (post && path.equals(LEAVE)) {
+      exchange.body().discard();
       dataPath.leave();
-      return Single.succeeded(factory.noContent());
+      exchange.answer(accepted());
+    } else {
+      dataPath.handleExit(exchange);
     }
-    return dataPath.handleExit(context, request, factory);
-  }
-
-  private Single<StreamingHttpResponse> announce(
-      StreamingHttpRequest request, StreamingHttpResponseFactory factory) {
-    return request
-        .payloadBody()
-        .collect(StringBuilder::new, ExitService::append)
-        .map(
-            body ->
-                AnnouncementCodec.decode(body.toString())
-                    .fold(
-                        failure -> dataPath.answers().failure(factory, failure),
-                        target -> accept(target, factory)))
-        .onErrorReturn(
-            OversizedAnnouncementException.class,
-            error ->
-                dataPath
-                    .answers()
-                    .failure(
-                        factory,
-                        new Failure(
-                            ResultCode.BAD_REQUEST,
-                            "an announcement has at most " + MAX_ANNOUNCEMENT_BYTES + " bytes")));
   }
 
-  private static StringBuilder append(StringBuilder all, Buffer part) {
-    if (all.length() + part.readableBytes() > MAX_ANNOUNCEMENT_BYTES) {
-      throw new OversizedAnnouncementException();
+  private Answer announce(Optional<String> body) {
+    if (body.isEmpty()) {
+      return dataPath
+          .answers()
+          .failure(
+              new Failure(
+                  ResultCode.BAD_REQUEST,
+                  "an announcement has at most " + MAX_ANNOUNCEMENT_BYTES + " bytes"));
     }
-    return all.append(part.toString(StandardCharsets.UTF_8));
-  }
-
-  private StreamingHttpResponse accept(LocalTarget target, StreamingHttpResponseFactory factory) {
-    dataPath.announce(target);
-    return factory.noContent();
+    return AnnouncementCodec.decode(body.orElseThrow())
+        .fold(
+            failure -> dataPath.answers().failure(failure),
+            target -> {
+              dataPath.announce(target);
+              return accepted();
+            });
   }
 
-  /** Ends the reading of an announcement that is too long. */
-  private static final class OversizedAnnouncementException extends RuntimeException {
-    private static final long serialVersionUID = 1L;
+  private static Answer accepted() {
+    Answer answer = Answer.of(HttpResponseStatus.NO_CONTENT, Unpooled.EMPTY_BUFFER);
+    answer.headers().remove("content-length");
+    return answer;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
@@ -12,15 +12,11 @@
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.time.Ticker;
-import io.servicetalk.concurrent.SingleSource;
-import io.servicetalk.concurrent.api.Processors;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.concurrent.api.SourceAdapters;
-import io.servicetalk.http.api.StreamingHttpResponse;
 import io.vavr.control.Either;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Lets calls run on the local target: first past the isolation of suspects, then past admission.
@@ -53,17 +49,21 @@
     return controller.currentLevel();
   }
 
-  /** Waits until the call may run. The slot must be released when the call has ended. */
-  Single<Either<Failure, Slot>> admit(
-      CallContext context, Fingerprint fingerprint, long deadlineNanos) {
-    return Single.defer(
-        () -> {
-          Pending pending = new Pending(context, fingerprint, deadlineNanos);
-          pending.tryRun();
-          return SourceAdapters.fromSource(pending.result)
-              .beforeCancel(pending::cancel)
-              .shareContextOnSubscribe();
-        });
+  /**
+   * Waits until the call may run. The slot must be released when the call has ended.
+   *
+   * @param then takes the decision; called once, perhaps before this method returns, unless the
+   *     wait is cancelled
+   * @return cancels the wait
+   */
+  Runnable admit(
+      CallContext context,
+      Fingerprint fingerprint,
+      long deadlineNanos,
+      Consumer<Either<Failure, Slot>> then) {
+    Pending pending = new Pending(context, fingerprint, deadlineNanos, then);
+    pending.tryRun();
+    return pending::cancel;
   }
 
   /** Does what time brings; to be called every few milliseconds. */
@@ -89,14 +89,18 @@
   }
 
   private final class Pending implements AdmissionWaiter {
-    private final SingleSource.Processor<Either<Failure, Slot>, Either<Failure, Slot>> result =
-        Processors.newSingleProcessor();
     private final CallContext context;
     private final Fingerprint fingerprint;
     private final long deadlineNanos;
+    private final Consumer<Either<Failure, Slot>> then;
     private AdmissionTicket ticket;
 
-    Pending(CallContext context, Fingerprint fingerprint, long deadlineNanos) {
+    Pending(
+        CallContext context,
+        Fingerprint fingerprint,
+        long deadlineNanos,
+        Consumer<Either<Failure, Slot>> then) {
+      this.then = then;
       this.context = context;
       this.fingerprint = fingerprint;
       this.deadlineNanos = deadlineNanos;
@@ -129,7 +133,7 @@
     public void start() {
       long now = ticker.nanos();
       if (fatal.begin(fingerprint, now) == Verdict.RUN) {
-        result.onSuccess(Either.right(new Slot(ticket, fingerprint, now)));
+        then.accept(Either.right(new Slot(ticket, fingerprint, now)));
       } else {
         controller.release(ticket, 0, CallOutcome.IGNORED, now);
         tryRun();
@@ -138,7 +142,7 @@
 
     @Override
     public void refuse(ResultCode code) {
-      result.onSuccess(Either.left(Failure.of(code)));
+      then.accept(Either.left(Failure.of(code)));
     }
 
     void cancel() {
@@ -173,16 +177,6 @@
       controller.resume(ticket);
     }
 
-    /** Releases the slot at the end of the answer, if nothing has before. */
-    Single<StreamingHttpResponse> abandonAtEnd(Single<StreamingHttpResponse> answer) {
-      return answer
-          .map(
-              response ->
-                  response.transformPayloadBody(body -> body.beforeFinally(this::abandoned)))
-          .beforeOnError(error -> abandoned())
-          .beforeCancel(this::abandoned);
-    }
-
     /** The target answered to the last byte. */
     void completed() {
       release(CallOutcome.ANSWERED, true);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Hop.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Hop.java
@@ -2,118 +2,126 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.core.time.Ticker;
-import io.servicetalk.concurrent.Executor;
-import io.servicetalk.concurrent.api.Completable;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpHeaders;
-import io.servicetalk.http.api.HttpRequestMetaData;
-import io.servicetalk.http.api.StreamingHttpClient;
-import io.servicetalk.http.api.StreamingHttpRequest;
-import io.servicetalk.http.api.StreamingHttpResponse;
-import io.servicetalk.transport.api.RetryableException;
-import java.net.ConnectException;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Attempt;
+import dev.arbutusroad.node.http.AttemptListener;
+import dev.arbutusroad.node.http.EventLoopThread;
+import dev.arbutusroad.node.http.HttpConnections;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 
 /** Sends one attempt of a call to the next process and classifies how it ended. */
 final class Hop {
   private final HttpConnections connections;
-  private final Ticker ticker;
+  private final EventLoopThread thread;
 
-  Hop(HttpConnections connections, Ticker ticker) {
+  Hop(HttpConnections connections) {
     this.connections = connections;
-    this.ticker = ticker;
+    this.thread = connections.thread();
   }
 
-  /** The event loop that attempts to an address run on. */
-  Executor eventLoop(InetSocketAddress address) {
-    return connections.client(address).executionContext().ioExecutor();
+  /** Runs a task on the event loop, later than the present one. */
+  void execute(Runnable task) {
+    thread.loop().execute(task);
   }
 
   /**
    * Sends the request.
    *
-   * @param head method, target and headers of the request as received, cleaned of hop-by-hop and
-   *     system headers
-   * @param extra headers that this attempt adds
+   * @param received the request as received, cleaned of hop-by-hop and system headers
+   * @param extra adds the headers of this attempt
    * @param remaining time until the deadline; it covers the body of the answer as well
    * @param unknown the code of a failure after a byte may have reached the other side
+   * @param then takes the outcome; called once, unless the attempt is cancelled
+   * @return cancels the attempt
    */
-  Single<HopOutcome> send(
+  Runnable send(
       InetSocketAddress address,
-      HttpRequestMetaData head,
-      HeaderSetter extra,
+      HttpRequest received,
+      Consumer<HttpHeaders> extra,
       RequestBody body,
       Duration remaining,
-      ResultCode unknown) {
-    StreamingHttpClient client = connections.client(address);
-    StreamingHttpRequest request = client.newRequest(head.method(), head.requestTarget());
-    request.headers().set(head.headers());
-    extra.apply(request.headers());
-    body.held().ifPresent(held -> setLength(request.headers(), held.readableBytes()));
-    request.payloadBody(body.publisher());
-    Executor timer = client.executionContext().ioExecutor();
-    long deadlineNanos = ticker.nanos() + remaining.toNanos();
-    return client
-        .request(request)
-        .timeout(remaining, timer)
-        .<HopOutcome>map(response -> new HopOutcome.Answered(limit(response, deadlineNanos, timer)))
-        .onErrorResume(error -> Single.succeeded(classify(error, unknown)));
-  }
-
-  /** Keeps {@code content-length: 0} off requests that had no body at all. */
-  private static void setLength(HttpHeaders headers, int bytes) {
-    if (bytes > 0 || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bytes));
+      ResultCode unknown,
+      Consumer<HopOutcome> then) {
+    HttpHeaders headers = received.headers().copy();
+    extra.accept(headers);
+    body.heldLength()
+        .ifPresent(length -> headers.set(HttpHeaderNames.CONTENT_LENGTH, Long.toString(length)));
+    if (body.isStreamed() && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
+    HttpRequest head =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
+    Watch watch = new Watch(unknown, then);
+    watch.timer = thread.after(remaining.toNanos(), watch::expire);
+    watch.attempt = connections.send(address, head, body.forAttempt(), watch);
+    return watch::cancel;
   }
 
-  private StreamingHttpResponse limit(
-      StreamingHttpResponse response, long deadlineNanos, Executor timer) {
-    Duration left = Duration.ofNanos(Math.max(1, deadlineNanos - ticker.nanos()));
-    return response.transformPayloadBody(body -> body.timeoutTerminal(left, timer));
+  /** Runs a task after a pause. */
+  void after(long pauseNanos, Runnable task) {
+    var unused = thread.after(pauseNanos, task);
   }
 
-  private static HopOutcome classify(Throwable error, ResultCode unknown) {
-    ResultCode code = code(error, unknown);
-    return failed(
-        code,
-        switch (code) {
-          case DEADLINE_EXCEEDED -> "no answer before the deadline";
-          case TARGET_UNREACHABLE -> "no connection: " + error.getMessage();
-          default -> "the connection failed: " + error;
-        });
-  }
+  /** Ends an attempt at its deadline. */
+  private static final class Watch implements AttemptListener {
+    private final ResultCode unknown;
+    private final Consumer<HopOutcome> then;
+    private Attempt attempt;
+    private Future<?> timer;
+    private boolean answered;
 
-  /** The code of an error of the connection. */
-  static ResultCode code(Throwable error, ResultCode unknown) {
-    if (error instanceof TimeoutException) {
-      return ResultCode.DEADLINE_EXCEEDED;
+    Watch(ResultCode unknown, Consumer<HopOutcome> then) {
+      this.unknown = unknown;
+      this.then = then;
     }
-    return error instanceof RetryableException || error instanceof ConnectException
-        ? ResultCode.TARGET_UNREACHABLE
-        : unknown;
-  }
 
-  /** Completes on the event loop after a pause. */
-  Completable pause(InetSocketAddress address, long pauseNanos) {
-    return connections
-        .client(address)
-        .executionContext()
-        .ioExecutor()
-        .timer(Duration.ofNanos(pauseNanos));
-  }
+    @Override
+    public void answered(Answer answer) {
+      answered = true;
+      answer.body().whenEnded(end -> timer.cancel(false));
+      then.accept(new HopOutcome.Answered(answer));
+    }
 
-  private static HopOutcome failed(ResultCode code, String detail) {
-    return new HopOutcome.Failed(new Failure(code, detail));
+    @Override
+    public void failed(Throwable cause, boolean sent) {
+      timer.cancel(false);
+      then.accept(
+          sent
+              ? failure(unknown, "the connection failed: " + cause)
+              : failure(ResultCode.TARGET_UNREACHABLE, "no connection: " + cause.getMessage()));
+    }
+
+    void expire() {
+      if (answered) {
+        attempt.expire(new TimeoutException("the answer was not complete at the deadline"));
+      } else {
+        attempt.cancel();
+        then.accept(failure(ResultCode.DEADLINE_EXCEEDED, "no answer before the deadline"));
+      }
+    }
+
+    void cancel() {
+      timer.cancel(false);
+      attempt.cancel();
+    }
+
+    private static HopOutcome failure(ResultCode code, String detail) {
+      return new HopOutcome.Failed(new Failure(code, detail));
+    }
   }
 
-  /** Adds headers to a request. */
-  @FunctionalInterface
-  interface HeaderSetter {
-    void apply(HttpHeaders headers);
+  /** The code of an answer that broke off. */
+  static ResultCode code(Throwable error, ResultCode unknown) {
+    return error instanceof TimeoutException ? ResultCode.DEADLINE_EXCEEDED : unknown;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/HopByHopHeaders.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/HopByHopHeaders.java
@@ -1,6 +1,6 @@
 package dev.arbutusroad.node.datapath;
 
-import io.servicetalk.http.api.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -22,8 +22,8 @@
 
   static void remove(HttpHeaders headers) {
     List<String> listed = new ArrayList<>(0);
-    for (CharSequence value : headers.values("connection")) {
-      for (String name : value.toString().split(",", -1)) {
+    for (String value : headers.getAll("connection")) {
+      for (String name : value.split(",", -1)) {
         if (!name.isBlank()) {
           listed.add(name.trim());
         }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/StreamingHeaderFields.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/MessageHeaderFields.java
@@ -1,13 +1,13 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.edge.HeaderFields;
-import io.servicetalk.http.api.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Objects;
 import java.util.Optional;
 
-/** The header fields of a ServiceTalk message. */
-record StreamingHeaderFields(HttpHeaders headers) implements HeaderFields {
-  StreamingHeaderFields {
+/** The header fields of an HTTP message. */
+record MessageHeaderFields(HttpHeaders headers) implements HeaderFields {
+  MessageHeaderFields {
     Objects.requireNonNull(headers, "headers");
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OrderRuns.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OrderRuns.java
@@ -7,17 +7,19 @@
 import dev.arbutusroad.node.claim.ClaimDecision;
 import dev.arbutusroad.node.claim.ClaimHandle;
 import dev.arbutusroad.node.claim.Claims;
-import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.buffer.netty.BufferAllocators;
-import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.concurrent.api.SingleTerminalSignalConsumer;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpResponseStatus;
-import io.servicetalk.http.api.StreamingHttpResponse;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Body;
+import dev.arbutusroad.node.http.Exchange;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 
 /**
  * Runs unrepeatable orders with a key at most once: claims them first and records their answers.
@@ -51,94 +53,93 @@
    * Claims an order and runs it, or answers it from its claim.
    *
    * @param eventLoop the thread of the data path
-   * @param run sends the order to the target; subscribed at most once, after the claim is confirmed
+   * @param run sends the order to the target and hands its answer over; called at most once, after
+   *     the claim is confirmed
+   * @param reply answers the caller
    */
-  Single<StreamingHttpResponse> run(
+  void run(
       ReceivedCall call,
       CallContext context,
       long deadlineNanos,
       Executor eventLoop,
-      Supplier<Single<StreamingHttpResponse>> run) {
-    String key = call.orderKey().orElseThrow();
+      Consumer<Consumer<Answer>> run,
+      Consumer<Answer> reply) {
     long margin = Math.min(ANSWER_MARGIN_NANOS, (deadlineNanos - ticker.nanos()) / 10);
-    long decisionNanos = deadlineNanos - margin;
-    return Single.defer(
-            () -> Single.fromStage(claims.claim(call.service(), key, decisionNanos, eventLoop)))
-        .flatMap(decision -> decided(call, context, deadlineNanos, decision, run));
+    CompletableFuture<ClaimDecision> claim =
+        claims.claim(
+            call.service(), call.orderKey().orElseThrow(), deadlineNanos - margin, eventLoop);
+    Exchange exchange = call.exchange();
+    exchange.whenEnded(complete -> claim.cancel(false));
+    var unused =
+        claim.thenAccept(
+            decision -> {
+              if (!exchange.isEnded()) {
+                decided(call, context, deadlineNanos, decision, run, reply);
+              } else if (decision instanceof ClaimDecision.Run abandoned) {
+                abandoned.handle().releaseNotRun();
+              }
+            });
   }
 
-  private Single<StreamingHttpResponse> decided(
+  private void decided(
       ReceivedCall call,
       CallContext context,
       long deadlineNanos,
       ClaimDecision decision,
-      Supplier<Single<StreamingHttpResponse>> run) {
+      Consumer<Consumer<Answer>> run,
+      Consumer<Answer> reply) {
     if (decision instanceof ClaimDecision.Run claimed) {
       if (deadlineNanos - ticker.nanos() <= 0) {
         claimed.handle().releaseNotRun();
-        return Single.succeeded(failure(call, context, Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
+        reply.accept(failure(context, Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
+        return;
       }
-      return run.get()
-          .map(response -> observe(response, claimed.handle()))
-          .beforeFinally(new EndWithoutAnswer(claimed.handle()));
+      // Only the first report of a handle counts: this one is for an order without an answer.
+      call.exchange()
+          .whenEnded(
+              complete -> {
+                if (!complete) {
+                  claimed.handle().outcomeUnknown();
+                }
+              });
+      run.accept(
+          answer -> {
+            observe(answer, claimed.handle());
+            reply.accept(answer);
+          });
+    } else if (decision instanceof ClaimDecision.Answer recorded) {
+      reply.accept(replay(context, recorded.answer()));
+    } else {
+      reply.accept(failure(context, ((ClaimDecision.Refuse) decision).failure()));
     }
-    if (decision instanceof ClaimDecision.Answer answer) {
-      return Single.succeeded(replay(call, context, answer.answer()));
-    }
-    return Single.succeeded(failure(call, context, ((ClaimDecision.Refuse) decision).failure()));
   }
 
   /** Reports how the order ended, from the head of its answer or from the end of its body. */
-  private static StreamingHttpResponse observe(StreamingHttpResponse response, ClaimHandle handle) {
-    if (response.headers().contains(ArbutusHeaders.RESULT)) {
-      if (response.headers().contains(ArbutusHeaders.RUN, ArbutusHeaders.RUN_NOT_RUN)) {
-        handle.releaseNotRun();
-      } else {
-        handle.outcomeUnknown();
-      }
-      return response;
+  private static void observe(Answer answer, ClaimHandle handle) {
+    if (!answer.headers().contains(ArbutusHeaders.RESULT)) {
+      AnswerRecorder.record(answer, handle);
+    } else if (answer.headers().contains(ArbutusHeaders.RUN, ArbutusHeaders.RUN_NOT_RUN, false)) {
+      handle.releaseNotRun();
+    } else {
+      handle.outcomeUnknown();
     }
-    AnswerRecorder recorder = new AnswerRecorder(response, handle);
-    return response.transformPayloadBody(
-        body -> body.beforeOnNext(recorder::add).beforeFinally(recorder));
   }
 
-  private static StreamingHttpResponse replay(
-      ReceivedCall call, CallContext context, RecordedAnswer answer) {
-    StreamingHttpResponse response =
-        call.factory().newResponse(HttpResponseStatus.of(answer.status(), ""));
-    answer.headers().forEach(one -> response.headers().add(one.name(), one.value()));
-    if (answer.status() != NO_CONTENT && answer.status() != NOT_MODIFIED) {
-      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(answer.bodyLength()));
+  private static Answer replay(CallContext context, RecordedAnswer recorded) {
+    HttpResponse head =
+        new DefaultHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(recorded.status()));
+    recorded.headers().forEach(one -> head.headers().add(one.name(), one.value()));
+    if (recorded.status() != NO_CONTENT && recorded.status() != NOT_MODIFIED) {
+      head.headers().set(HttpHeaderNames.CONTENT_LENGTH, recorded.bodyLength());
     }
-    if (answer.bodyLength() > 0) {
-      Buffer body = BufferAllocators.PREFER_HEAP_ALLOCATOR.wrap(answer.body());
-      response.payloadBody(Publisher.from(body));
-    }
-    response.headers().set(ArbutusHeaders.UNUSED, Integer.toString(context.grant()));
-    return response;
-  }
-
-  private StreamingHttpResponse failure(ReceivedCall call, CallContext context, Failure failure) {
-    StreamingHttpResponse response = answers.failure(call.factory(), failure);
-    response.headers().set(ArbutusHeaders.UNUSED, Integer.toString(context.grant()));
-    return response;
+    head.headers().set(ArbutusHeaders.UNUSED, context.grant());
+    return new Answer(head, Body.of(Unpooled.wrappedBuffer(recorded.body())));
   }
 
-  /** The order was sent and its caller went away, or the data path failed, before an answer. */
-  private record EndWithoutAnswer(ClaimHandle handle)
-      implements SingleTerminalSignalConsumer<StreamingHttpResponse> {
-    @Override
-    public void onSuccess(StreamingHttpResponse response) {}
-
-    @Override
-    public void onError(Throwable error) {
-      handle.outcomeUnknown();
-    }
-
-    @Override
-    public void cancel() {
-      handle.outcomeUnknown();
-    }
+  private Answer failure(CallContext context, Failure failure) {
+    Answer answer = answers.failure(failure);
+    answer.headers().set(ArbutusHeaders.UNUSED, context.grant());
+    return answer;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
@@ -23,6 +23,7 @@
   private final Set<String> tried = new HashSet<>(2);
   private int attempts;
   private int reroutes;
+  private Runnable cancelAttempt = () -> {};
   private Optional<Failure> lastFailure = Optional.empty();
 
   /**
@@ -108,6 +109,16 @@
     tried.add(member.id());
   }
 
+  /** Sets how the attempt in progress is cancelled. */
+  void onCancel(Runnable cancel) {
+    cancelAttempt = cancel;
+  }
+
+  /** Cancels the attempt in progress; has no effect if it has ended. */
+  void cancel() {
+    cancelAttempt.run();
+  }
+
   void rerouted() {
     reroutes++;
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
@@ -6,10 +6,10 @@
 import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.label.Labels;
 import dev.arbutusroad.core.route.Route;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpHeaders;
-import io.servicetalk.http.api.StreamingHttpRequest;
-import io.servicetalk.http.api.StreamingHttpResponseFactory;
+import dev.arbutusroad.node.http.Exchange;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -18,8 +18,7 @@
 /**
  * A request as it was received, with the system's headers read and taken off.
  *
- * @param request the request; its headers hold only what may be passed on
- * @param factory makes answers on the connection of the request
+ * @param exchange the request, whose headers hold only what may be passed on, and its answer
  * @param service the destination service, empty if the request names none
  * @param requestId identifies the caller's attempt in logs
  * @param labels the labels sent with the request
@@ -29,8 +28,7 @@
  * @param context the encoded context from another node
  */
 record ReceivedCall(
-    StreamingHttpRequest request,
-    StreamingHttpResponseFactory factory,
+    Exchange exchange,
     Optional<String> requestId,
     String service,
     Labels labels,
@@ -42,18 +40,17 @@
   private static final int MAX_LABEL_LENGTH = 256;
 
   /** Reads the system's headers and removes them and the hop-by-hop headers from the request. */
-  static ReceivedCall of(
-      StreamingHttpRequest request, StreamingHttpResponseFactory factory, CallProtocol protocol) {
-    HttpHeaders headers = request.headers();
+  static ReceivedCall of(Exchange exchange, CallProtocol protocol) {
+    HttpHeaders headers = exchange.request().headers();
     String service = service(headers);
     Labels labels = labels(headers);
-    CallerTerms terms = protocol.terms(new StreamingHeaderFields(headers));
+    CallerTerms terms = protocol.terms(new MessageHeaderFields(headers));
     Optional<String> token = ArbutusHeaders.text(headers, ArbutusHeaders.CALL).or(terms::parentId);
     Optional<String> context = ArbutusHeaders.text(headers, ArbutusHeaders.CONTEXT);
     ArbutusHeaders.removeAll(headers);
+    HopByHopHeaders.remove(headers);
     return new ReceivedCall(
-        request,
-        factory,
+        exchange,
         terms.requestId(),
         service,
         labels,
@@ -66,20 +63,30 @@
   /** This call sent along a route, whose labels replace those of the caller. */
   ReceivedCall along(Route route, String destination) {
     return new ReceivedCall(
-        request,
-        factory,
-        requestId,
-        destination,
-        route.labels(),
-        orderKey,
-        deadlineMillis,
-        token,
-        context);
+        exchange, requestId, destination, route.labels(), orderKey, deadlineMillis, token, context);
+  }
+
+  /** This call, answered through another exchange. */
+  ReceivedCall on(Exchange other) {
+    return new ReceivedCall(
+        other, requestId, service, labels, orderKey, deadlineMillis, token, context);
+  }
+
+  /** The head of the request. */
+  HttpRequest request() {
+    return exchange.request();
+  }
+
+  /** The path of the request, without the query. */
+  String path() {
+    String target = request().uri();
+    int query = target.indexOf('?');
+    return query < 0 ? target : target.substring(0, query);
   }
 
   /** The host that the caller named; empty if it named none. */
   String host() {
-    return ArbutusHeaders.text(request.headers(), HttpHeaderNames.HOST.toString()).orElse("");
+    return ArbutusHeaders.text(request().headers(), HttpHeaderNames.HOST.toString()).orElse("");
   }
 
   /** The id of the request in logs. */
@@ -89,15 +96,15 @@
 
   /** What selectors see of the call. */
   CallAttributes attributes(String caller) {
-    return new CallAttributes(service, request.method().name(), request.rawPath(), caller, labels);
+    return new CallAttributes(service, request().method().name(), path(), caller, labels);
   }
 
   /** What identifies requests like this one if they crash targets. */
   Fingerprint fingerprint(RequestBody body) {
     return Fingerprint.of(
         service,
-        request.method().name(),
-        request.requestTarget(),
+        request().method().name(),
+        request().uri(),
         body.start(Fingerprint.BODY_BYTES),
         orderKey);
   }
@@ -114,11 +121,10 @@
     if (named.isPresent()) {
       return named.orElseThrow();
     }
-    CharSequence host = headers.get(HttpHeaderNames.HOST);
-    if (host == null) {
+    String name = headers.get(HttpHeaderNames.HOST);
+    if (name == null) {
       return "";
     }
-    String name = host.toString();
     int end = 0;
     while (end < name.length() && name.charAt(end) != '.' && name.charAt(end) != ':') {
       end++;
@@ -128,10 +134,10 @@
 
   private static Labels labels(HttpHeaders headers) {
     SortedMap<String, String> found = new TreeMap<>();
-    for (Map.Entry<CharSequence, CharSequence> header : headers) {
+    for (Map.Entry<String, String> header : headers) {
       if (found.size() < MAX_LABELS && header.getValue().length() <= MAX_LABEL_LENGTH) {
         ArbutusHeaders.labelName(header.getKey())
-            .ifPresent(name -> found.put(name, header.getValue().toString()));
+            .ifPresent(name -> found.put(name, header.getValue()));
       }
     }
     return Labels.of(found);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
@@ -1,13 +1,13 @@
 package dev.arbutusroad.node.datapath;
 
-import io.servicetalk.buffer.api.Buffer;
-import io.servicetalk.buffer.netty.BufferAllocators;
-import io.servicetalk.concurrent.api.Publisher;
-import io.servicetalk.concurrent.api.Single;
-import io.servicetalk.http.api.HttpHeaderNames;
-import io.servicetalk.http.api.HttpHeaders;
-import io.servicetalk.http.api.StreamingHttpRequest;
+import dev.arbutusroad.node.http.Body;
+import dev.arbutusroad.node.http.BodySink;
+import dev.arbutusroad.node.http.Exchange;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 /**
  * The body of a request: held whole if it is small, so that it can be sent again, else streamed
@@ -17,35 +17,35 @@
   /** Bodies up to this size are held for another attempt. */
   static final long MAX_HELD_BYTES = 64 * 1_024;
 
-  private final Optional<Buffer> held;
-  private final Publisher<Buffer> stream;
+  private static final byte[] NONE = {};
+
+  private final Optional<byte[]> held;
+  private final Optional<Body> stream;
+  private final boolean stated;
   private boolean streamed;
 
-  private RequestBody(Optional<Buffer> held, Publisher<Buffer> stream) {
+  private RequestBody(Optional<byte[]> held, Optional<Body> stream, boolean stated) {
     this.held = held;
     this.stream = stream;
+    this.stated = stated;
   }
 
-  /** Reads a small body whole; leaves any other one in the stream. */
-  static Single<RequestBody> of(StreamingHttpRequest request) {
-    HttpHeaders headers = request.headers();
-    Optional<Long> length =
-        ArbutusHeaders.number(headers, HttpHeaderNames.CONTENT_LENGTH.toString());
-    boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-    if (length.isEmpty() && !chunked) {
-      return Single.succeeded(new RequestBody(Optional.of(empty()), Publisher.empty()));
-    }
-    boolean expectsContinue = headers.contains(HttpHeaderNames.EXPECT);
-    if (chunked || expectsContinue || length.orElseThrow() > MAX_HELD_BYTES) {
-      return Single.succeeded(new RequestBody(Optional.empty(), request.payloadBody()));
+  /**
+   * Reads a small body whole; leaves any other one in the stream.
+   *
+   * @param then takes the body; not called if the caller goes before a small body is there
+   */
+  static void read(Exchange exchange, Consumer<RequestBody> then) {
+    OptionalLong length = exchange.bodyLength();
+    if (length.isEmpty() || length.getAsLong() > MAX_HELD_BYTES) {
+      then.accept(new RequestBody(Optional.empty(), Optional.of(exchange.body()), true));
+    } else if (length.getAsLong() == 0) {
+      exchange.body().discard();
+      boolean stated = exchange.request().headers().contains("content-length");
+      then.accept(new RequestBody(Optional.of(NONE), Optional.empty(), stated));
+    } else {
+      exchange.body().consume(new Collector((int) length.getAsLong(), then));
     }
-    int bytes = length.orElseThrow().intValue();
-    return request
-        .payloadBody()
-        .collect(
-            () -> BufferAllocators.PREFER_HEAP_ALLOCATOR.newBuffer(bytes),
-            (all, part) -> all.writeBytes(part))
-        .map(all -> new RequestBody(Optional.of(all), Publisher.empty()));
   }
 
   /** Whether the body can be sent now: always if it is held, once if it is streamed. */
@@ -54,27 +54,60 @@
   }
 
   /** The body for one attempt. */
-  Publisher<Buffer> publisher() {
+  Body forAttempt() {
     if (held.isPresent()) {
-      Buffer body = held.orElseThrow();
-      return body.readableBytes() == 0 ? Publisher.empty() : Publisher.from(body.duplicate());
+      return Body.of(Unpooled.wrappedBuffer(held.orElseThrow()));
     }
-    return stream.beforeOnSubscribe(subscription -> streamed = true);
+    streamed = true;
+    return stream.orElseThrow();
+  }
+
+  /** The length to state with the body; empty if it has none to state or is streamed. */
+  OptionalLong heldLength() {
+    return held.isPresent() && stated
+        ? OptionalLong.of(held.orElseThrow().length)
+        : OptionalLong.empty();
   }
 
-  /** The body if it is held. */
-  Optional<Buffer> held() {
-    return held;
+  /** Whether the body is passed on while it arrives. */
+  boolean isStreamed() {
+    return stream.isPresent();
   }
 
   /** Up to {@code limit} bytes from the start of the body; none if it is not held. */
   byte[] start(int limit) {
-    byte[] bytes = new byte[held.map(body -> Math.min(limit, body.readableBytes())).orElse(0)];
-    held.ifPresent(body -> body.getBytes(body.readerIndex(), bytes));
-    return bytes;
+    byte[] body = held.orElse(NONE);
+    return body.length <= limit ? body : java.util.Arrays.copyOf(body, limit);
   }
 
-  private static Buffer empty() {
-    return BufferAllocators.PREFER_HEAP_ALLOCATOR.newBuffer(0);
+  private static final class Collector implements BodySink {
+    private final byte[] bytes;
+    private final Consumer<RequestBody> then;
+    private int count;
+
+    Collector(int length, Consumer<RequestBody> then) {
+      bytes = new byte[length];
+      this.then = then;
+    }
+
+    @Override
+    public void part(ByteBuf part) {
+      int length = part.readableBytes();
+      part.readBytes(bytes, count, length);
+      count += length;
+      part.release();
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void ended() {
+      then.accept(new RequestBody(Optional.of(bytes), Optional.empty(), true));
+    }
+
+    /** The exchange has ended with its caller; there is nobody to answer. */
+    @Override
+    public void failed(Throwable cause) {}
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Settlement.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Settlement.java
@@ -4,12 +4,12 @@
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
-import io.servicetalk.concurrent.api.TerminalSignalConsumer;
-import io.servicetalk.http.api.StreamingHttpResponse;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.BodyEnd;
 import java.util.concurrent.TimeoutException;
 
 /** Tells the target table and the retry budget once how an attempt ended. */
-final class Settlement implements TerminalSignalConsumer {
+final class Settlement {
   private static final int SERVER_ERROR = 500;
 
   private final TargetTable targets;
@@ -42,10 +42,22 @@
     return member;
   }
 
-  StreamingHttpResponse track(StreamingHttpResponse response) {
+  /** Settles the attempt when the body of its answer has ended. */
+  void track(Answer answer) {
     latencyNanos = ticker.nanos() - startedNanos;
-    serverError = response.status().code() >= SERVER_ERROR;
-    return response.transformPayloadBody(body -> body.beforeFinally(this));
+    serverError = answer.status() >= SERVER_ERROR;
+    answer.body().whenEnded(this::ended);
+  }
+
+  private void ended(BodyEnd end) {
+    if (end instanceof BodyEnd.Completed) {
+      completed();
+    } else if (end instanceof BodyEnd.Failed broken
+        && !(broken.cause() instanceof TimeoutException)) {
+      failed();
+    } else {
+      abandoned();
+    }
   }
 
   void refused(ResultCode code) {
@@ -75,8 +87,7 @@
     }
   }
 
-  @Override
-  public void onComplete() {
+  private void completed() {
     if (serverError) {
       answered();
     } else if (settle()) {
@@ -85,20 +96,6 @@
     }
   }
 
-  @Override
-  public void onError(Throwable error) {
-    if (error instanceof TimeoutException) {
-      abandoned();
-    } else {
-      failed();
-    }
-  }
-
-  @Override
-  public void cancel() {
-    abandoned();
-  }
-
   private boolean settle() {
     boolean first = !settled;
     settled = true;
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
@@ -0,0 +1,145 @@
+package dev.arbutusroad.node.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+
+/**
+ * One request on its way to another process, from the wait for a connection to the answer's end.
+ */
+public final class Attempt {
+  private final HttpRequest head;
+  private final Body requestBody;
+  private final AttemptListener listener;
+  private ClientConnection connection;
+  private Body answerBody;
+  private boolean requestWritten;
+  private boolean closed;
+
+  Attempt(HttpRequest head, Body requestBody, AttemptListener listener) {
+    this.head = head;
+    this.requestBody = requestBody;
+    this.listener = listener;
+  }
+
+  /** Gives up: the listener is told nothing, and the connection is closed if it was used. */
+  public void cancel() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    requestBody.cancel();
+    if (connection != null) {
+      connection.close();
+    }
+    if (answerBody != null) {
+      answerBody.cancel();
+    }
+  }
+
+  /** Ends an attempt whose answer has begun but does not end in time. */
+  public void expire(Throwable cause) {
+    if (!closed) {
+      closed = true;
+      connection.close();
+      requestBody.cancel();
+      answerBody.fail(cause);
+    }
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+
+  /** No connection could be opened. */
+  void unreachable(Throwable cause) {
+    if (!closed) {
+      closed = true;
+      listener.failed(cause, false);
+    }
+  }
+
+  /** Sends the request. */
+  void start(ClientConnection opened) {
+    connection = opened;
+    connection.write(head);
+    requestBody.consume(new RequestSink());
+    requestBody.setReady(connection.isWritable());
+  }
+
+  void setWritable(boolean writable) {
+    if (!requestWritten) {
+      requestBody.setReady(writable);
+    }
+  }
+
+  /** Whether the connection may take another request after this one. */
+  boolean isRequestWritten() {
+    return requestWritten;
+  }
+
+  boolean isAnswered() {
+    return answerBody != null;
+  }
+
+  void answered(Answer answer) {
+    answerBody = answer.body();
+    listener.answered(answer);
+  }
+
+  void receive(ByteBuf part) {
+    answerBody.add(part);
+  }
+
+  /** The answer is complete. */
+  void received() {
+    if (!closed) {
+      closed = true;
+      answerBody.complete();
+      if (!requestWritten) {
+        requestBody.cancel();
+      }
+    }
+  }
+
+  /** The connection broke. */
+  void broken(Throwable cause) {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    requestBody.cancel();
+    if (answerBody == null) {
+      listener.failed(cause, true);
+    } else {
+      answerBody.fail(cause);
+    }
+  }
+
+  private final class RequestSink implements BodySink {
+    @Override
+    public void part(ByteBuf part) {
+      connection.write(new DefaultHttpContent(part));
+    }
+
+    @Override
+    public void flush() {
+      connection.flush();
+    }
+
+    @Override
+    public void ended() {
+      requestWritten = true;
+      connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
+      connection.flush();
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      connection.close();
+      broken(new IOException("the request broke off: " + cause.getMessage(), cause));
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/http/BodySink.java
@@ -0,0 +1,18 @@
+package dev.arbutusroad.node.http;
+
+import io.netty.buffer.ByteBuf;
+
+/** Takes the parts of a body in order; the last call is {@link #ended} or {@link #failed}. */
+public interface BodySink {
+  /** Takes a part and its reference. */
+  void part(ByteBuf part);
+
+  /** No more parts are there at present; what was taken should be flushed. */
+  void flush();
+
+  /** The body is complete. */
+  void ended();
+
+  /** The body broke off. */
+  void failed(Throwable cause);
+}
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/http/BodySource.java
@@ -0,0 +1,10 @@
+package dev.arbutusroad.node.http;
+
+/** Where the parts of a body come from. */
+public interface BodySource {
+  /** Asks the source to go on or to pause. */
+  void setReading(boolean reading);
+
+  /** The consumer does not want the rest. */
+  void cancel();
+}
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/http/EventLoopThread.java
@@ -0,0 +1,76 @@
+package dev.arbutusroad.node.http;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/** The thread that owns the state of the data path and all its connections. */
+public final class EventLoopThread implements AutoCloseable {
+  private static final long STOP_LIMIT_MILLIS = 1_000;
+
+  private final NioEventLoopGroup group =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("data-path", true));
+  private final EventLoop loop = group.next();
+
+  /** Starts the thread. */
+  public static EventLoopThread start() {
+    return new EventLoopThread();
+  }
+
+  private EventLoopThread() {}
+
+  /** Runs tasks and timers on the thread. */
+  public EventLoop loop() {
+    return loop;
+  }
+
+  /**
+   * Checks that the caller is on the thread, as the state that it owns has no locks.
+   *
+   * @throws IllegalStateException on any other thread
+   */
+  public void check() {
+    if (!loop.inEventLoop()) {
+      throw new IllegalStateException(
+          "the data path is used by thread " + Thread.currentThread().getName());
+    }
+  }
+
+  /** Runs a task on the thread after a delay; a failure of the task is logged. */
+  public ScheduledFuture<?> after(long delayNanos, Runnable task) {
+    return loop.schedule(
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            Logger.error(e, "event=timer_failed");
+          }
+        },
+        delayNanos,
+        TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs a task on the thread and waits for its result. */
+  public <T> T call(Callable<T> task) {
+    try {
+      return loop.submit(task).get();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a task of the event loop failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted while waiting for the event loop", e);
+    }
+  }
+
+  @Override
+  public void close() {
+    group
+        .shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(STOP_LIMIT_MILLIS);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/http/HttpListener.java
@@ -0,0 +1,120 @@
+package dev.arbutusroad.node.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/** An HTTP listener whose handler runs on the event loop. */
+public final class HttpListener {
+  private static final int BACKLOG = 1_024;
+
+  private final EventLoopThread thread;
+  private final ExchangeHandler handler;
+  private final Set<ServerConnection> connections = new HashSet<>();
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private boolean draining;
+  private Channel channel;
+
+  private HttpListener(EventLoopThread thread, ExchangeHandler handler) {
+    this.thread = thread;
+    this.handler = handler;
+  }
+
+  /**
+   * Binds the address and starts to accept connections.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  public static HttpListener start(
+      EventLoopThread thread, InetSocketAddress address, ExchangeHandler handler)
+      throws IOException {
+    HttpListener listener = new HttpListener(thread, handler);
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(thread.loop())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel accepted) {
+                    listener.accept(accepted);
+                  }
+                })
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("can't listen on " + address + ": " + bound.cause(), bound.cause());
+    }
+    listener.channel = bound.channel();
+    return listener;
+  }
+
+  private void accept(SocketChannel accepted) {
+    ServerConnection connection = new ServerConnection(accepted, handler, this::ended);
+    connections.add(connection);
+    accepted
+        .pipeline()
+        .addLast(
+            new HttpServerCodec(
+                HttpLimits.MAX_LINE_BYTES, HttpLimits.MAX_HEADER_BYTES, HttpLimits.CHUNK_BYTES))
+        .addLast(connection);
+  }
+
+  private void ended(ServerConnection connection) {
+    connections.remove(connection);
+    if (draining && connections.isEmpty()) {
+      drained.complete(null);
+    }
+  }
+
+  /** The bound address. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) channel.localAddress();
+  }
+
+  /** The thread that runs the handler. */
+  public EventLoopThread thread() {
+    return thread;
+  }
+
+  /** Stops accepting connections, closes idle ones and lets the requests in progress finish. */
+  public CompletableFuture<Void> closeGracefully() {
+    thread.loop().execute(this::drain);
+    return drained;
+  }
+
+  private void drain() {
+    draining = true;
+    ChannelCalls.close(channel);
+    List.copyOf(connections).forEach(ServerConnection::drain);
+    if (connections.isEmpty()) {
+      drained.complete(null);
+    }
+  }
+
+  /** Closes every connection at once. */
+  public void close() {
+    thread
+        .loop()
+        .execute(
+            () -> {
+              ChannelCalls.close(channel);
+              List.copyOf(connections).forEach(ServerConnection::close);
+            });
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -14,6 +14,7 @@
 import dev.arbutusroad.core.store.PlatformClientSettings;
 import dev.arbutusroad.core.store.PlatformServices;
 import dev.arbutusroad.core.time.Ticker;
+import dev.arbutusroad.node.admin.AdminListener;
 import dev.arbutusroad.node.admin.AdminService;
 import dev.arbutusroad.node.admin.ReadinessService;
 import dev.arbutusroad.node.claim.ClaimsDuty;
@@ -23,25 +24,24 @@
 import dev.arbutusroad.node.configuration.ConfigurationMetrics;
 import dev.arbutusroad.node.configuration.ConfigurationWatch;
 import dev.arbutusroad.node.datapath.AnnouncementService;
-import dev.arbutusroad.node.datapath.CallerService;
 import dev.arbutusroad.node.datapath.DataPath;
 import dev.arbutusroad.node.datapath.DataPathOptions;
 import dev.arbutusroad.node.datapath.ExitService;
-import dev.arbutusroad.node.datapath.HttpListener;
+import dev.arbutusroad.node.http.EventLoopThread;
+import dev.arbutusroad.node.http.ExchangeHandler;
+import dev.arbutusroad.node.http.HttpListener;
 import dev.arbutusroad.node.log.LineLog;
 import dev.arbutusroad.node.membership.MembershipDuty;
 import dev.arbutusroad.node.membership.MembershipMetrics;
 import dev.arbutusroad.node.membership.MembershipOptions;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import io.servicetalk.concurrent.api.Executor;
-import io.servicetalk.http.api.StreamingHttpService;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -68,6 +68,7 @@
   private final Ticker ticker = Ticker.system();
   private final PrometheusRegistry metrics = new PrometheusRegistry();
   private final LineLog log = closer.register(LineLog.start(System.out));
+  private final EventLoopThread eventLoop = closer.register(EventLoopThread.start());
   private final PlatformServices platform;
   private final MembershipDuty membership;
   private final ConfigurationDuty configuration;
@@ -76,7 +77,6 @@
   private final HttpListener caller;
   private final HttpListener exit;
   private final Optional<HttpListener> announcements;
-  private final Executor eventLoop;
   private volatile Limits limits;
   private volatile boolean closed;
 
@@ -105,25 +105,34 @@
                 ticker));
     ClaimsMetrics.register(claims, metrics);
     dataPath = closer.register(createDataPath());
-    caller = HttpListener.start(settings.listeners().caller(), new CallerService(dataPath));
-    StreamingHttpService exitService =
+    caller = HttpListener.start(eventLoop, settings.listeners().caller(), dataPath::handleCaller);
+    ExchangeHandler exitService =
         deployment.announcements().isPresent() ? dataPath::handleExit : new ExitService(dataPath);
-    exit = HttpListener.start(settings.listeners().exit(), exitService);
-    eventLoop = caller.eventLoop();
+    exit = HttpListener.start(eventLoop, settings.listeners().exit(), exitService);
     announcements = startAnnouncements();
     if (settings.listeners().readiness().isPresent()) {
-      HttpListener.start(
-          settings.listeners().readiness().orElseThrow(), new ReadinessService(this::isReady));
+      closer.register(
+          AdminListener.start(
+              settings.listeners().readiness().orElseThrow(), new ReadinessService(this::isReady)));
     }
-    NodeView view = new NodeView(settings.id(), configuration, membership, dataPath, claims);
-    HttpListener.start(settings.listeners().admin(), new AdminService(view, metrics));
+    NodeView view =
+        new NodeView(
+            settings.id(),
+            configuration,
+            membership,
+            () -> eventLoop.call(dataPath::state),
+            claims);
+    closer.register(
+        AdminListener.start(settings.listeners().admin(), new AdminService(view, metrics)));
     dataPath.register(metrics);
     membership.addFingerprintListener(
         report ->
-            eventLoop.execute(() -> dataPath.mergeFatal(List.of(FatalReports.entry(report)))));
+            eventLoop
+                .loop()
+                .execute(() -> dataPath.mergeFatal(List.of(FatalReports.entry(report)))));
     configuration.start();
     deployment.configurationTable().ifPresent(this::watchConfiguration);
-    eventLoop.execute(this::scheduleTick);
+    eventLoop.loop().execute(this::scheduleTick);
   }
 
   /**
@@ -150,14 +159,15 @@
     long deadline = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limits.drainLimitMillis());
     Logger.info("event=drain_started node={}", settings.id());
     membership.leave();
-    onEventLoop(
+    eventLoop.call(
         () -> {
           dataPath.drain();
           return true;
         });
     sleep(LEAVE_NOTICE_MILLIS);
     // Requests that come later could not end before the process does.
-    Future<Void> allClosed = caller.closeGracefully().merge(exit.closeGracefully()).toFuture();
+    Future<Void> allClosed =
+        CompletableFuture.allOf(caller.closeGracefully(), exit.closeGracefully());
     while (callsInProgress() > 0 && deadline - ticker.nanos() > 0) {
       sleep(DRAIN_POLL_MILLIS);
     }
@@ -193,15 +203,15 @@
 
   /** Calls received and not answered to the last byte. */
   public int callsInProgress() {
-    return onEventLoop(dataPath::callsInProgress);
+    return eventLoop.call(dataPath::callsInProgress);
   }
 
   @Override
   public void close() throws IOException {
     closed = true;
-    caller.close().subscribe();
-    exit.close().subscribe();
-    announcements.ifPresent(listener -> listener.close().subscribe());
+    caller.close();
+    exit.close();
+    announcements.ifPresent(HttpListener::close);
     closer.close();
   }
 
@@ -211,7 +221,9 @@
     return address.isPresent() && protocol.isPresent()
         ? Optional.of(
             HttpListener.start(
-                address.orElseThrow(), new AnnouncementService(dataPath, protocol.orElseThrow())))
+                eventLoop,
+                address.orElseThrow(),
+                new AnnouncementService(dataPath, protocol.orElseThrow())))
         : Optional.empty();
   }
 
@@ -280,6 +292,7 @@
             settings.service(),
             log::add);
     return new DataPath(
+        eventLoop,
         options,
         this::policies,
         membership::view,
@@ -292,7 +305,7 @@
   private void scheduleTick() {
     boolean busy = dataPath.callsInProgress() > 0;
     long millis = busy ? BUSY_TICK_MILLIS : IDLE_TICK_MILLIS;
-    eventLoop.schedule(this::tick, millis, TimeUnit.MILLISECONDS);
+    var unused = eventLoop.after(TimeUnit.MILLISECONDS.toNanos(millis), this::tick);
   }
 
   private void tick() {
@@ -305,17 +318,6 @@
     }
   }
 
-  private <T> T onEventLoop(Callable<T> task) {
-    try {
-      return eventLoop.submit(task).toFuture().get();
-    } catch (ExecutionException e) {
-      throw new IllegalStateException("a task of the event loop failed", e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new IllegalStateException("interrupted while waiting for the event loop", e);
-    }
-  }
-
   private static void sleep(long millis) {
     try {
       Thread.sleep(millis);
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeView.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeView.java
@@ -3,23 +3,24 @@
 import dev.arbutusroad.node.admin.AdminSource;
 import dev.arbutusroad.node.claim.ClaimsDuty;
 import dev.arbutusroad.node.configuration.ConfigurationDuty;
-import dev.arbutusroad.node.datapath.DataPath;
+import dev.arbutusroad.node.datapath.DataPathState;
 import dev.arbutusroad.node.membership.MembershipDuty;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /** What operators see of a node. */
 final class NodeView implements AdminSource {
   private final String id;
   private final ConfigurationDuty configuration;
   private final MembershipDuty membership;
-  private final DataPath dataPath;
+  private final Supplier<DataPathState> dataPath;
   private final ClaimsDuty claims;
 
   NodeView(
       String id,
       ConfigurationDuty configuration,
       MembershipDuty membership,
-      DataPath dataPath,
+      Supplier<DataPathState> dataPath,
       ClaimsDuty claims) {
     this.id = id;
     this.configuration = configuration;
@@ -42,11 +43,7 @@
   @Override
   public Object state() {
     return new NodeState(
-        id,
-        configuration.status(),
-        membership.dump(),
-        dataPath.state(),
-        claims.counters().values());
+        id, configuration.status(), membership.dump(), dataPath.get(), claims.counters().values());
   }
 
   @Override
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TwoNodes.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TwoNodes.java
@@ -11,6 +11,8 @@
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.claim.Claims;
 import dev.arbutusroad.node.claim.NoClaims;
+import dev.arbutusroad.node.http.EventLoopThread;
+import dev.arbutusroad.node.http.HttpListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -24,6 +26,7 @@
   private static final InetSocketAddress ANY = Addresses.of("127.0.0.1", 0);
   static final String SECRET = "a secret for tests only";
 
+  private final EventLoopThread thread = EventLoopThread.start();
   private final List<HttpListener> listeners = new ArrayList<>();
   private final List<DataPath> paths = new ArrayList<>();
   private final List<Member> members = new ArrayList<>();
@@ -91,7 +94,7 @@
 
   static void onEventLoop(HttpListener listener, Runnable task)
       throws InterruptedException, ExecutionException {
-    listener.eventLoop().submit(task).toFuture().get();
+    listener.thread().loop().submit(task).get();
   }
 
   List<HttpListener> listeners() {
@@ -106,6 +109,7 @@
     DataPathOptions options = new DataPathOptions(id, "muscat", "muscat-a", SECRET);
     DataPath path =
         new DataPath(
+            thread,
             options,
             () -> Optional.of(new FixedPolicy(policy)),
             () -> new FixedView(revision, List.copyOf(members)),
@@ -113,7 +117,7 @@
             duties,
             claims,
             Ticker.system());
-    HttpListener listener = HttpListener.start(ANY, new CallerService(path));
+    HttpListener listener = HttpListener.start(thread, ANY, path::handleCaller);
     paths.add(path);
     listeners.add(listener);
     return listener;
@@ -121,8 +125,9 @@
 
   @Override
   public void close() {
-    listeners.forEach(listener -> listener.close().subscribe());
+    listeners.forEach(HttpListener::close);
     paths.forEach(DataPath::close);
+    thread.close();
   }
 
   FakeDuties duties() {
