Write an answer's head and body at once; test the connections

Cause: each part of an answer was flushed on its own, so an answer cost up to three writes and as many wake-ups of the next process. Parts are now flushed at the end of a read. Local trial, 200 calls/s, one node as exit and gate: 1.10 to 0.97 ms of the event loop a call.

--- a/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
@@ -93,6 +93,13 @@
     answerBody.add(part);
   }
 
+  /** No more of the answer is there at present. */
+  void flushAnswer() {
+    if (answerBody != null) {
+      answerBody.flush();
+    }
+  }
+
   /** The answer is complete. */
   void received() {
     if (!closed) {
--- a/node/src/main/java/dev/arbutusroad/node/http/Body.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Body.java
@@ -68,6 +68,13 @@
     drain();
   }
 
+  /** The source has no more parts at present, so the sink sends what it has. */
+  public void flush() {
+    if (sink != null && end == null) {
+      sink.flush();
+    }
+  }
+
   /** All parts have been added. */
   public void complete() {
     complete = true;
@@ -93,7 +100,11 @@
     if (end instanceof BodyEnd.Failed failed) {
       sink.failed(failed.cause());
     } else {
+      boolean late = !waiting.isEmpty();
       drain();
+      if (late) {
+        flush();
+      }
     }
   }
 
@@ -119,8 +130,12 @@
 
   /** Whether the sink takes more parts at present. */
   public void setReady(boolean ready) {
+    boolean late = ready && !waiting.isEmpty();
     sinkReady = ready;
     drain();
+    if (late) {
+      flush();
+    }
   }
 
   /** The sink does not want the rest. */
@@ -167,7 +182,6 @@
       finish(new BodyEnd.Completed());
       sink.ended();
     } else {
-      sink.flush();
       pace();
     }
   }
--- a/node/src/main/java/dev/arbutusroad/node/http/ClientConnection.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ClientConnection.java
@@ -124,6 +124,9 @@
   /** Returns to the pool only here: surplus bytes read with an answer must not meet a request. */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
+    if (current != null) {
+      current.flushAnswer();
+    }
     if (answerReceived && reusable && channel.isActive()) {
       answerReceived = false;
       current = null;
--- a/node/src/main/java/dev/arbutusroad/node/http/ServerConnection.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ServerConnection.java
@@ -71,6 +71,13 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (current != null) {
+      current.flushRequest();
+    }
+  }
+
   private void take(Object message) {
     if (message instanceof HttpRequest request) {
       if (request.decoderResult().isFailure()) {
--- a/node/src/main/java/dev/arbutusroad/node/http/ServerExchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ServerExchange.java
@@ -92,6 +92,11 @@
     }
   }
 
+  /** No more of the request is there at present. */
+  void flushRequest() {
+    body.flush();
+  }
+
   boolean isReceived() {
     return received;
   }
--- /dev/null
+++ b/node/src/test/java/dev/arbutusroad/node/http/BodyTest.java
@@ -0,0 +1,123 @@
+package dev.arbutusroad.node.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against lost, reordered and leaked parts of bodies, and against a source that is not
+ * paused.
+ */
+final class BodyTest {
+  private final RecordingSource source = new RecordingSource();
+  private final RecordingSink sink = new RecordingSink();
+
+  @Test
+  void partsFromBeforeAndAfterTheSinkArriveInOrder() {
+    Body body = new Body(source);
+    body.add(part("a"));
+    body.consume(sink);
+    body.add(part("b"));
+    body.complete();
+    assertThat(sink.events).containsExactly("a", "flush", "b", "ended");
+  }
+
+  @Test
+  void sourceThatIsFasterThanItsSinkIsPausedAndResumed() {
+    Body body = new Body(source);
+    body.consume(sink);
+    body.setReady(false);
+    body.add(part("x".repeat(Body.MAX_WAITING_BYTES)));
+    assertThat(source.events).isEmpty();
+    body.add(part("y"));
+    assertThat(source.events).containsExactly("pause");
+    body.setReady(true);
+    assertThat(source.events).containsExactly("pause", "resume");
+    assertThat(sink.events).hasSize(3);
+  }
+
+  @Test
+  void brokenSourceNeverLooksComplete() {
+    Body body = new Body(source);
+    List<BodyEnd> ends = new ArrayList<>();
+    body.whenEnded(ends::add);
+    body.add(part("a"));
+    body.fail(new IOException("reset"));
+    body.complete();
+    body.consume(sink);
+    assertThat(sink.events).containsExactly("failed reset");
+    assertThat(ends).hasSize(1).first().isInstanceOf(BodyEnd.Failed.class);
+  }
+
+  @Test
+  void cancelledBodyReleasesWhatWaitsAndStopsItsSource() {
+    Body body = new Body(source);
+    ByteBuf waiting = part("a");
+    body.add(waiting);
+    body.cancel();
+    ByteBuf late = part("b");
+    body.add(late);
+    assertThat(waiting.refCnt()).isZero();
+    assertThat(late.refCnt()).isZero();
+    assertThat(source.events).containsExactly("cancel");
+  }
+
+  /** The source of a complete body may carry another message by now. */
+  @Test
+  void cancelledBodyThatIsCompleteLeavesItsSourceAlone() {
+    Body body = new Body(source);
+    body.add(part("a"));
+    body.complete();
+    body.cancel();
+    assertThat(source.events).isEmpty();
+  }
+
+  private static ByteBuf part(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+  }
+
+  private static final class RecordingSource implements BodySource {
+    private final List<String> events = new ArrayList<>();
+
+    @Override
+    public void setReading(boolean reading) {
+      events.add(reading ? "resume" : "pause");
+    }
+
+    @Override
+    public void cancel() {
+      events.add("cancel");
+    }
+  }
+
+  private static final class RecordingSink implements BodySink {
+    private final List<String> events = new ArrayList<>();
+
+    @Override
+    public void part(ByteBuf part) {
+      events.add(part.toString(StandardCharsets.US_ASCII));
+      part.release();
+    }
+
+    @Override
+    public void flush() {
+      events.add("flush");
+    }
+
+    @Override
+    public void ended() {
+      events.add("ended");
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      events.add("failed " + cause.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/dev/arbutusroad/node/http/ServerConnectionTest.java
@@ -0,0 +1,177 @@
+package dev.arbutusroad.node.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.arbutusroad.core.net.Addresses;
+import dev.arbutusroad.core.resource.Closer;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against mixed, cut and falsely complete answers on the connections of callers. */
+@Timeout(60)
+final class ServerConnectionTest {
+  private final Closer closer = new Closer();
+  private final EventLoopThread thread = closer.register(EventLoopThread.start());
+
+  @AfterEach
+  void close() throws IOException {
+    closer.close();
+  }
+
+  @Test
+  void requestsSentAtOnceAreAnsweredInOrder() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok(exchange.request().uri())));
+    send(client, get("/a") + get("/b") + "GET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
+    String answers = readAll(client);
+    assertThat(answers.split("HTTP/1.1 200", -1)).hasSize(4);
+    assertThat(answers).containsSubsequence("\r\n\r\n/a", "\r\n\r\n/b", "\r\n\r\n/c");
+  }
+
+  @Test
+  void laterRequestWaitsForTheAnswerBeforeIt() throws Exception {
+    CompletableFuture<Exchange> first = new CompletableFuture<>();
+    Socket client =
+        connect(
+            exchange -> {
+              if (!first.complete(exchange)) {
+                exchange.answer(ok("second"));
+              }
+            });
+    send(client, get("/a") + "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+    Exchange waiting = first.get(20, TimeUnit.SECONDS);
+    thread.loop().execute(() -> waiting.answer(ok("first")));
+    assertThat(readAll(client)).containsSubsequence("first", "second");
+  }
+
+  @Test
+  void answerThatBreaksOffDoesNotLookComplete() throws Exception {
+    Socket client =
+        connect(
+            exchange -> {
+              Body body = new Body(new NoSource());
+              exchange.answer(
+                  new Answer(
+                      new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK), body));
+              body.add(Unpooled.copiedBuffer("half", StandardCharsets.US_ASCII));
+              body.flush();
+              body.fail(new IOException("the source broke"));
+            });
+    send(client, get("/"));
+    assertThat(readAll(client)).doesNotContain("\r\n0\r\n\r\n");
+  }
+
+  @Test
+  void callerThatGoesEndsItsExchange() throws Exception {
+    CountDownLatch gone = new CountDownLatch(1);
+    CountDownLatch begun = new CountDownLatch(1);
+    Socket client =
+        connect(
+            exchange -> {
+              exchange.whenEnded(
+                  complete -> {
+                    if (!complete) {
+                      gone.countDown();
+                    }
+                  });
+              begun.countDown();
+            });
+    send(client, get("/"));
+    assertThat(begun.await(20, TimeUnit.SECONDS)).isTrue();
+    client.close();
+    assertThat(gone.await(20, TimeUnit.SECONDS)).isTrue();
+  }
+
+  /** The caller may have closed only its sending side, as it sends no other request. */
+  @Test
+  void callerThatSendsNoMoreStillGetsItsAnswer() throws Exception {
+    CompletableFuture<Exchange> received = new CompletableFuture<>();
+    Socket client = connect(received::complete);
+    send(client, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    client.shutdownOutput();
+    Exchange exchange = received.get(20, TimeUnit.SECONDS);
+    thread.loop().execute(() -> exchange.answer(ok("late")));
+    assertThat(readAll(client)).endsWith("late");
+  }
+
+  @Test
+  void answerBeforeTheWholeRequestLeavesTheConnectionUsable() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok(exchange.request().uri())));
+    send(client, "POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\n01234");
+    InputStream in = client.getInputStream();
+    StringBuilder first = new StringBuilder();
+    while (!first.toString().endsWith("\r\n\r\n/a")) {
+      first.append((char) in.read());
+    }
+    send(client, "56789GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assertThat(readAll(client)).startsWith("HTTP/1.1 200").endsWith("/b");
+  }
+
+  @Test
+  void malformedRequestIsRefusedAndTheConnectionClosed() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok("never")));
+    send(client, "this is no request\r\n\r\n");
+    assertThat(readAll(client)).startsWith("HTTP/1.1 400").doesNotContain("never");
+  }
+
+  @Test
+  void drainClosesIdleConnectionsAndFinishesTheOthers() throws Exception {
+    CompletableFuture<Exchange> received = new CompletableFuture<>();
+    HttpListener listener =
+        HttpListener.start(thread, Addresses.of("127.0.0.1", 0), received::complete);
+    Socket idle =
+        closer.register(new Socket(InetAddress.getLoopbackAddress(), listener.address().getPort()));
+    Socket busy =
+        closer.register(new Socket(InetAddress.getLoopbackAddress(), listener.address().getPort()));
+    send(busy, get("/"));
+    Exchange exchange = received.get(20, TimeUnit.SECONDS);
+    CompletableFuture<Void> drained = listener.closeGracefully();
+    assertThat(idle.getInputStream().read()).isNegative();
+    assertThat(drained).isNotDone();
+    thread.loop().execute(() -> exchange.answer(ok("done")));
+    assertThat(readAll(busy)).contains("connection: close").endsWith("done");
+    drained.get(20, TimeUnit.SECONDS);
+  }
+
+  private Socket connect(ExchangeHandler handler) throws IOException {
+    HttpListener listener = HttpListener.start(thread, Addresses.of("127.0.0.1", 0), handler);
+    return closer.register(
+        new Socket(InetAddress.getLoopbackAddress(), listener.address().getPort()));
+  }
+
+  private static Answer ok(String body) {
+    return Answer.of(HttpResponseStatus.OK, Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+  }
+
+  private static String get(String path) {
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+
+  private static void send(Socket client, String text) throws IOException {
+    client.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static String readAll(Socket client) throws IOException {
+    return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+  }
+
+  private static final class NoSource implements BodySource {
+    @Override
+    public void setReading(boolean reading) {}
+
+    @Override
+    public void cancel() {}
+  }
+}
