Find a running target at the start of its node by a health check

The node now asks the target's health path as soon as the desired state is known, and takes its id from the answer. The ramp of new targets lasts 3 s instead of 10: a replaced node's target is warm, and a cold one is slow for 3 s.

--- a/core/src/main/java/dev/arbutusroad/core/config/Configuration.java
+++ b/core/src/main/java/dev/arbutusroad/core/config/Configuration.java
@@ -7,6 +7,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +27,7 @@
   private final Map<PolicyProperty, Long> defaults;
   private final RuleTable table;
   private final Optional<RouteTable> routes;
+  private final Map<String, String> healthPaths;
 
   Configuration(
       long version,
@@ -34,7 +36,7 @@
       List<LabellingRule> labelling,
       List<PolicyRule> rules,
       Map<PolicyProperty, Long> defaults) {
-    this(version, document, services, labelling, rules, defaults, Optional.empty());
+    this(version, document, services, labelling, rules, defaults, Optional.empty(), Map.of());
   }
 
   private Configuration(
@@ -44,7 +46,8 @@
       List<LabellingRule> labelling,
       List<PolicyRule> rules,
       Map<PolicyProperty, Long> defaults,
-      Optional<RouteTable> routes) {
+      Optional<RouteTable> routes,
+      Map<String, String> healthPaths) {
     this.version = version;
     this.document = document;
     this.hash = hashOf(document);
@@ -54,21 +57,40 @@
     this.defaults = Map.copyOf(defaults);
     this.table = new RuleTable(labelling, rules, defaults);
     this.routes = routes;
+    this.healthPaths = Map.copyOf(healthPaths);
   }
 
-  /** A configuration whose routes attach the labels that its rules select on. */
+  /**
+   * A configuration whose routes attach the labels that its rules select on.
+   *
+   * @param services the path of the health check by service; empty if a service has none
+   */
   public static Configuration routed(
       long version,
       String document,
-      List<String> services,
+      Map<String, Optional<String>> services,
       List<PolicyRule> rules,
       RouteTable routes) {
     Map<PolicyProperty, Long> defaults = new EnumMap<>(PolicyProperty.class);
     for (PolicyProperty property : PolicyProperty.values()) {
       defaults.put(property, property.builtInDefault());
     }
+    Map<String, String> healthPaths = new HashMap<>();
+    services.forEach((name, path) -> path.ifPresent(known -> healthPaths.put(name, known)));
     return new Configuration(
-        version, document, services, List.of(), rules, defaults, Optional.of(routes));
+        version,
+        document,
+        List.copyOf(services.keySet()),
+        List.of(),
+        rules,
+        defaults,
+        Optional.of(routes),
+        healthPaths);
+  }
+
+  @Override
+  public Optional<String> healthPath(String service) {
+    return Optional.ofNullable(healthPaths.get(service));
   }
 
   @Override
--- a/core/src/main/java/dev/arbutusroad/core/config/PolicyResolver.java
+++ b/core/src/main/java/dev/arbutusroad/core/config/PolicyResolver.java
@@ -16,4 +16,9 @@
   default Optional<RouteTable> routes() {
     return Optional.empty();
   }
+
+  /** The path at which targets of a service answer a health check; empty if it is not known. */
+  default Optional<String> healthPath(String service) {
+    return Optional.empty();
+  }
 }
--- a/core/src/main/java/dev/arbutusroad/core/edge/CallProtocol.java
+++ b/core/src/main/java/dev/arbutusroad/core/edge/CallProtocol.java
@@ -29,6 +29,11 @@
    */
   void describe(HeaderFields answer, Failure failure, Optional<Duration> retryAfter);
 
+  /** The id that a target states in its answer to a health check; empty if it states none. */
+  default Optional<String> targetId(HeaderFields answer) {
+    return Optional.empty();
+  }
+
   /**
    * Whether targets copy the token of the call that they serve to the calls that they make. If not,
    * each call on the exit listener has retries of its own, and a call that names its parent takes
--- a/core/src/main/java/dev/arbutusroad/core/routing/SlowStart.java
+++ b/core/src/main/java/dev/arbutusroad/core/routing/SlowStart.java
@@ -5,10 +5,14 @@
 
 /** Ramps up a target that was first seen a short time ago, so that a cold start is not flooded. */
 final class SlowStart implements RoutingWeight {
-  static final long RAMP_NANOS = TimeUnit.SECONDS.toNanos(10);
+  /**
+   * Targets are slow for about 3 s after their start. A longer ramp takes capacity away when a node
+   * is replaced and the target beside it is warm.
+   */
+  static final long RAMP_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  /** Cost factor at the start of the ramp: a cold target gets about a tenth of the calls. */
-  static final double MAX_FACTOR = 10;
+  /** Cost factor at the start of the ramp; a cold target is about twice as slow as a warm one. */
+  static final double MAX_FACTOR = 3;
 
   private final long startedNanos;
 
--- a/core/src/main/java/dev/arbutusroad/core/settings/NodeSettings.java
+++ b/core/src/main/java/dev/arbutusroad/core/settings/NodeSettings.java
@@ -14,6 +14,7 @@
  * @param region the region of the host
  * @param failureDomain the failure domain of the host
  * @param service the only service that the target may announce; empty allows any
+ * @param target the address of the local target, if it is known before the target announces itself
  * @param listeners the addresses that the node binds
  * @param platform the address of the table service and the object store
  * @param sharedSecret the secret of the installation
@@ -27,6 +28,7 @@
     String region,
     String failureDomain,
     Optional<String> service,
+    Optional<InetSocketAddress> target,
     Listeners listeners,
     InetSocketAddress platform,
     SharedSecret sharedSecret,
@@ -39,6 +41,7 @@
     Objects.requireNonNull(region, "region");
     Objects.requireNonNull(failureDomain, "failureDomain");
     Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(target, "target");
     Objects.requireNonNull(listeners, "listeners");
     Objects.requireNonNull(platform, "platform");
     Objects.requireNonNull(sharedSecret, "sharedSecret");
--- a/core/src/main/java/dev/arbutusroad/core/settings/NodeSettingsParser.java
+++ b/core/src/main/java/dev/arbutusroad/core/settings/NodeSettingsParser.java
@@ -36,7 +36,8 @@
           "connectTimeoutMillis",
           "queueLimit",
           "announcementMillis",
-          "deployment");
+          "deployment",
+          "target");
   private static final List<String> LISTENER_KEYS = List.of("caller", "exit", "peer", "admin");
   private static final List<String> OPTIONAL_LISTENER_KEYS = List.of("announcements", "readiness");
   private static final List<String> ALL_LISTENER_KEYS =
@@ -67,6 +68,7 @@
         name(settings.required("region")),
         name(settings.required("failureDomain")),
         service == null ? Optional.empty() : Optional.of(name(service)),
+        optionalAddress(settings, "target"),
         listeners(settings.required("listeners")),
         address(settings.required("platform")),
         secret(settings.required("sharedSecret")),
--- a/core/src/test/java/dev/arbutusroad/core/routing/TargetTableTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/routing/TargetTableTest.java
@@ -60,6 +60,19 @@
     assertThat(cold).isLessThan(warm / 2);
   }
 
+  /** Guards against a service that lacks a warm target for long after its node was replaced. */
+  @Test
+  void rampIsOverAfterThreeSeconds() {
+    nowNanos = 0;
+    picks(new FakeView(1, members(2, "muscat-a")), 1);
+    nowNanos = 2 * SlowStart.RAMP_NANOS;
+    FakeView grown = new FakeView(2, members(3, "muscat-a"));
+    picks(grown, 1);
+    nowNanos += 3_000_000_000L;
+
+    assertThat(picks(grown, 3_000).getOrDefault("m2", 0)).isBetween(800, 1_200);
+  }
+
   /** Guards against calls to a failing target, and against ejecting all targets at once. */
   @Test
   void failingTargetsAreEjectedButNeverMoreThanHalf() {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -28,6 +28,7 @@
 public final class DataPath implements AutoCloseable {
   private final EventLoopThread thread;
   private final TargetLease lease;
+  private final TargetSearch search;
   private final Answers answers;
   private final DataPathOptions options;
   private final CallTracker tracker = new CallTracker();
@@ -105,6 +106,7 @@
             answers,
             log);
     newerPolicy = new NewerPolicy(policies, duties);
+    search = new TargetSearch(options, lease, connections, policies, listener, ticker);
   }
 
   /** Handles a request on the caller listener: from another node, or from a client. */
@@ -236,6 +238,7 @@
   public void tick() {
     thread.check();
     connections.closeIdle();
+    search.tick();
     if (lease.expire(ticker.nanos())) {
       targetLost();
     }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
@@ -2,6 +2,7 @@
 
 import dev.arbutusroad.core.edge.CallProtocol;
 import dev.arbutusroad.core.settings.Limits;
+import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -16,6 +17,7 @@
  * @param targetLeaseMillis how long a target that does not renew its announcement is believed
  * @param protocol how callers and targets state the terms of a call
  * @param callerService the service of calls on the exit listener, if targets pass no tokens
+ * @param target where the local target is, if it is known before it announces itself
  * @param log takes a line for each decision; must not block
  */
 public record DataPathOptions(
@@ -26,6 +28,7 @@
     long targetLeaseMillis,
     CallProtocol protocol,
     Optional<String> callerService,
+    Optional<InetSocketAddress> target,
     Consumer<String> log) {
   public DataPathOptions {
     Objects.requireNonNull(memberId, "memberId");
@@ -34,6 +37,7 @@
     Objects.requireNonNull(sharedSecret, "sharedSecret");
     Objects.requireNonNull(protocol, "protocol");
     Objects.requireNonNull(callerService, "callerService");
+    Objects.requireNonNull(target, "target");
     Objects.requireNonNull(log, "log");
   }
 
@@ -48,6 +52,7 @@
         Limits.defaults().targetLeaseMillis(),
         new ArbutusProtocol(),
         Optional.empty(),
+        Optional.empty(),
         line -> {});
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/TargetLease.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetLease.java
@@ -79,13 +79,35 @@
     return wasKnown && !wasLeaving ? Change.UNCHANGED : Change.SERVING;
   }
 
+  /**
+   * A target was found by a health check; its own reports are newer than that, whatever they say.
+   *
+   * @return whether it is taken as the local target
+   */
+  boolean found(LocalTarget answering, long nowNanos) {
+    if (!instance.isEmpty() || leaving || target.isPresent()) {
+      return false;
+    }
+    target = Optional.of(answering);
+    renewedNanos = nowNanos;
+    return true;
+  }
+
+  /** Whether no target has ever announced itself or been found. */
+  boolean isUnknown() {
+    return instance.isEmpty() && !leaving && target.isEmpty();
+  }
+
   /**
    * The target of this id has said that it leaves; later reports of that start are outdated.
    *
    * @return whether it was the local target and was not leaving before
    */
   boolean left(String leavingInstance) {
-    if (!leavingInstance.equals(instance) || ended) {
+    boolean local =
+        leavingInstance.equals(instance)
+            || target.filter(known -> known.instance().equals(leavingInstance)).isPresent();
+    if (!local || ended) {
       return false;
     }
     ended = true;
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetSearch.java
@@ -0,0 +1,108 @@
+package dev.arbutusroad.node.datapath;
+
+import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.edge.CallProtocol;
+import dev.arbutusroad.core.time.Ticker;
+import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.node.http.Attempt;
+import dev.arbutusroad.node.http.AttemptListener;
+import dev.arbutusroad.node.http.Body;
+import dev.arbutusroad.node.http.HttpConnections;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.tinylog.Logger;
+
+/**
+ * Finds the target beside a node that has just started, as it may run already and announces itself
+ * only once in a while. Owned by the data path.
+ */
+final class TargetSearch {
+  private static final int MAX_CHECKS = 4;
+  private static final long CHECK_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  private final DataPathOptions options;
+  private final TargetLease lease;
+  private final HttpConnections connections;
+  private final Supplier<Optional<PolicyResolver>> policies;
+  private final TargetListener listener;
+  private final Ticker ticker;
+  private int checks;
+  private long nextCheckNanos;
+
+  TargetSearch(
+      DataPathOptions options,
+      TargetLease lease,
+      HttpConnections connections,
+      Supplier<Optional<PolicyResolver>> policies,
+      TargetListener listener,
+      Ticker ticker) {
+    this.options = options;
+    this.lease = lease;
+    this.connections = connections;
+    this.policies = policies;
+    this.listener = listener;
+    this.ticker = ticker;
+    nextCheckNanos = ticker.nanos();
+  }
+
+  /** Sends the next check if it is due; to be called every few milliseconds. */
+  void tick() {
+    boolean due = checks < MAX_CHECKS && lease.isUnknown() && ticker.nanos() - nextCheckNanos >= 0;
+    if (due && options.target().isPresent() && options.callerService().isPresent()) {
+      String service = options.callerService().orElseThrow();
+      policies
+          .get()
+          .flatMap(resolver -> resolver.healthPath(service))
+          .ifPresent(path -> check(options.target().orElseThrow(), service, path));
+    }
+  }
+
+  private void check(InetSocketAddress address, String service, String path) {
+    checks++;
+    nextCheckNanos = ticker.nanos() + CHECK_LIMIT_NANOS;
+    HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    request.headers().set(HttpHeaderNames.HOST, service);
+    Attempt attempt = connections.send(address, request, Body.empty(), new Check(address, service));
+    var unused = connections.thread().after(CHECK_LIMIT_NANOS, attempt::cancel);
+  }
+
+  private final class Check implements AttemptListener {
+    private final InetSocketAddress address;
+    private final String service;
+
+    Check(InetSocketAddress address, String service) {
+      this.address = address;
+      this.service = service;
+    }
+
+    @Override
+    public void answered(Answer answer) {
+      answer.body().discard();
+      CallProtocol protocol = options.protocol();
+      Optional<String> id = protocol.targetId(new MessageHeaderFields(answer.headers()));
+      if (answer.status() != HttpResponseStatus.OK.code() || id.isEmpty()) {
+        Logger.info("event=target_check_failed check={} status={}", checks, answer.status());
+        return;
+      }
+      LocalTarget target =
+          new LocalTarget(id.orElseThrow(), service, address, Optional.empty(), Optional.empty());
+      if (lease.found(target, ticker.nanos())) {
+        Logger.info("event=target_found target={} check={}", id.orElseThrow(), checks);
+        listener.serving(service);
+      }
+    }
+
+    @Override
+    public void failed(Throwable cause, boolean sent) {
+      Logger.info("event=target_check_failed check={} reason=\"{}\"", checks, cause.toString());
+    }
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -293,6 +293,7 @@
             settings.limits().targetLeaseMillis(),
             deployment.calls(),
             settings.service(),
+            settings.target(),
             log::add);
     return new DataPath(
         eventLoop,
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
@@ -6,6 +6,7 @@
 import dev.arbutusroad.core.edge.TargetReport.State;
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.node.datapath.TargetLease.Change;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -51,6 +52,22 @@
     assertThat(lease.isLeaving()).isTrue();
   }
 
+  /** Guards against a health check that undoes what the target has said itself. */
+  @Test
+  void foundTargetGivesWayToItsOwnReports() {
+    LocalTarget found =
+        new LocalTarget(
+            "a", "orders", Addresses.of("127.0.0.1", 1), Optional.empty(), Optional.empty());
+    assertThat(lease.isUnknown()).isTrue();
+    assertThat(lease.found(found, 0)).isTrue();
+    assertThat(lease.left("a")).isTrue();
+    assertThat(lease.isLeaving()).isTrue();
+    assertThat(lease.found(found, 0)).isFalse();
+    assertThat(report("b", 20, 1, State.READY)).isEqualTo(Change.SERVING);
+    assertThat(lease.found(found, 0)).isFalse();
+    assertThat(lease.target().orElseThrow().instance()).isEqualTo("b");
+  }
+
   /** Guards against a silent target that calls are still sent to. */
   @Test
   void leaseEndsWithoutReports() {
--- /dev/null
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
@@ -0,0 +1,122 @@
+package dev.arbutusroad.node.datapath;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.arbutusroad.core.config.CallPolicy;
+import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.label.CallAttributes;
+import dev.arbutusroad.core.resource.Closer;
+import dev.arbutusroad.core.time.Ticker;
+import dev.arbutusroad.node.http.EventLoopThread;
+import dev.arbutusroad.node.http.HttpConnections;
+import dev.arbutusroad.platform.PlatformCallProtocol;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against a running target that gets no calls until it announces itself to a new node. */
+@Timeout(60)
+final class TargetSearchTest {
+  private final Closer closer = new Closer();
+  private final EventLoopThread thread = closer.register(EventLoopThread.start());
+  private final TargetLease lease = new TargetLease(4_500);
+  private final CountDownLatch serving = new CountDownLatch(1);
+
+  @AfterEach
+  void close() throws IOException {
+    closer.close();
+  }
+
+  @Test
+  void healthyTargetIsTakenBeforeItAnnouncesItself() throws Exception {
+    RawTarget target = answering("HTTP/1.1 200 OK\r\nInstance-Id: i-7\r\n");
+    TargetSearch search = search(target);
+    thread.loop().submit(search::tick).get();
+    assertThat(serving.await(20, TimeUnit.SECONDS)).isTrue();
+    LocalTarget found = thread.call(() -> lease.target().orElseThrow());
+    assertThat(found.instance()).isEqualTo("i-7");
+    assertThat(found.service()).isEqualTo("orders");
+    assertThat(target.heads().get(0)).startsWith("GET /health ");
+  }
+
+  @Test
+  void targetThatIsLeavingOrNamesNoIdIsNotTaken() throws Exception {
+    for (String head :
+        new String[] {
+          "HTTP/1.1 503 Leaving\r\nInstance-Id: i-7\r\n", "HTTP/1.1 200 OK\r\nx-other: i-7\r\n"
+        }) {
+      RawTarget target = answering(head);
+      TargetSearch search = search(target);
+      while (target.heads().size() < 4) {
+        thread.loop().submit(search::tick).get();
+      }
+      assertThat(thread.call(lease::target)).isEmpty();
+      assertThat(serving.getCount()).isEqualTo(1);
+    }
+  }
+
+  private RawTarget answering(String head) throws IOException {
+    return closer.register(
+        RawTarget.start(
+            (request, in, out) -> {
+              RawTarget.write(out, head + "content-length: 0\r\n\r\n");
+              return true;
+            }));
+  }
+
+  private TargetSearch search(RawTarget target) {
+    DataPathOptions options =
+        new DataPathOptions(
+            "n1",
+            "r",
+            "d",
+            "a secret for tests only",
+            4_500,
+            new PlatformCallProtocol(),
+            Optional.of("orders"),
+            Optional.of(target.address()),
+            line -> {});
+    Ticker ticker = Ticker.system();
+    return new TargetSearch(
+        options,
+        lease,
+        new HttpConnections(thread, ticker),
+        () -> Optional.of(new HealthPaths()),
+        new ServingListener(),
+        ticker);
+  }
+
+  private static final class HealthPaths implements PolicyResolver {
+    @Override
+    public long version() {
+      return 1;
+    }
+
+    @Override
+    public CallPolicy resolve(CallAttributes call) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Optional<String> healthPath(String service) {
+      return Optional.of("/health").filter(path -> service.equals("orders"));
+    }
+  }
+
+  private final class ServingListener implements TargetListener {
+    @Override
+    public void serving(String service) {
+      serving.countDown();
+    }
+
+    @Override
+    public void leaving() {}
+
+    @Override
+    public void lost() {}
+  }
+}
