Send a refused call to a target with room; keep levels by target

A refusal by a gate is now placed elsewhere at no cost, a call prefers targets whose level admits it, and only the lowest level of a service's targets is reported upwards.

--- a/bench/src/main/java/dev/arbutusroad/bench/decision/TargetPick.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/decision/TargetPick.java
@@ -69,7 +69,7 @@
   @Benchmark
   public Optional<Member> pickAndRecord() {
     nowNanos += STEP_NANOS;
-    Optional<Member> picked = table.pick(view, "orders", Set.of(), nowNanos);
+    Optional<Member> picked = table.pick(view, "orders", Set.of(), member -> true, nowNanos);
     picked.ifPresent(
         member -> {
           table.started(member, nowNanos);
--- a/core/src/main/java/dev/arbutusroad/core/admission/LevelTable.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/LevelTable.java
@@ -6,18 +6,19 @@
 import java.util.TreeMap;
 
 /**
- * The admission levels that responses have carried, for each service and kind of call.
+ * The admission levels that responses have carried, for each target and kind of call.
  *
- * <p>A node refuses a call below the learned level before any work is spent on it. The targets of
- * one service have different levels, so the learned level moves towards each seen level by a share
- * of the distance. A level that is not refreshed is lowered step by step, which lets some calls
- * through that learn the present one.
+ * <p>A node refuses a call that is below the learned levels of all targets before any work is spent
+ * on it, and prefers targets whose level admits a call. A response carries the strictest level that
+ * its call met, here or deeper in the graph, so the learned level moves towards each seen level by
+ * a share of the distance. A level that is not refreshed is lowered step by step, which lets some
+ * calls through that learn the present one.
  */
 public final class LevelTable {
   static final long EXPIRY_NANOS = 1_000_000_000L;
   static final long STEP_NANOS = 100_000_000L;
 
-  /** Bounds the memory; a node has far fewer (service, kind) pairs in use. */
+  /** Bounds the memory; a node has far fewer (target, kind) pairs in use. */
   static final int MAX_ENTRIES = 4_096;
 
   /** The share of the distance that one response moves the learned level. */
@@ -41,8 +42,8 @@
       };
 
   /** Takes in the level of a response. */
-  public void learn(String service, String kind, AdmissionLevel seen, long nowNanos) {
-    Key key = new Key(service, kind);
+  public void learn(String target, String kind, AdmissionLevel seen, long nowNanos) {
+    Key key = new Key(target, kind);
     Learned learned = entries.get(key);
     if (learned == null) {
       if (seen.rank() > 0) {
@@ -61,8 +62,8 @@
   }
 
   /** The level below which calls are refused; open if none is known. */
-  public AdmissionLevel level(String service, String kind, long nowNanos) {
-    Key key = new Key(service, kind);
+  public AdmissionLevel level(String target, String kind, long nowNanos) {
+    Key key = new Key(target, kind);
     Learned learned = entries.get(key);
     if (learned == null) {
       return AdmissionLevel.OPEN;
@@ -75,16 +76,29 @@
     return new AdmissionLevel((int) learned.rank);
   }
 
-  /** The learned levels by {@code service/kind}, for dumps. */
+  /**
+   * The level below which every one of some targets refuses calls; open if there are none, as a
+   * call that one of them may admit is not refused.
+   */
+  public AdmissionLevel lowest(Iterable<String> targets, String kind, long nowNanos) {
+    AdmissionLevel lowest = null;
+    for (String target : targets) {
+      AdmissionLevel level = level(target, kind, nowNanos);
+      lowest = lowest == null || level.rank() < lowest.rank() ? level : lowest;
+    }
+    return lowest == null ? AdmissionLevel.OPEN : lowest;
+  }
+
+  /** The learned levels by {@code target/kind}, for dumps. */
   public SortedMap<String, AdmissionLevel> snapshot() {
     SortedMap<String, AdmissionLevel> levels = new TreeMap<>();
     entries.forEach(
         (key, learned) ->
-            levels.put(key.service() + "/" + key.kind(), new AdmissionLevel((int) learned.rank)));
+            levels.put(key.target() + "/" + key.kind(), new AdmissionLevel((int) learned.rank)));
     return levels;
   }
 
-  private record Key(String service, String kind) {}
+  private record Key(String target, String kind) {}
 
   private static final class Learned {
     private double rank;
--- a/core/src/main/java/dev/arbutusroad/core/retry/RetryRules.java
+++ b/core/src/main/java/dev/arbutusroad/core/retry/RetryRules.java
@@ -18,8 +18,15 @@
   public static final String BUDGET = "RetryBudget";
   public static final String GRANTED = "Granted";
 
+  /** Refusals by a node, whose target has not seen the call: another one may have room. */
   private static final Set<ResultCode> REROUTED =
-      EnumSet.of(ResultCode.LEAVING, ResultCode.NOT_READY, ResultCode.TARGET_UNREACHABLE);
+      EnumSet.of(
+          ResultCode.LEAVING,
+          ResultCode.NOT_READY,
+          ResultCode.TARGET_UNREACHABLE,
+          ResultCode.SHED,
+          ResultCode.QUEUE_FULL);
+
   private static final List<RetryRule> RULES =
       List.of(
           new TransientOutcome(),
--- a/core/src/main/java/dev/arbutusroad/core/routing/TargetTable.java
+++ b/core/src/main/java/dev/arbutusroad/core/routing/TargetTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -42,17 +43,26 @@
    * Picks a target of the service.
    *
    * @param excluded ids of members that must not be picked
+   * @param preferred members that are picked before all others, as they are likely to take the call
    */
   public Optional<Member> pick(
-      MemberView view, String service, Set<String> excluded, long nowNanos) {
+      MemberView view,
+      String service,
+      Set<String> excluded,
+      Predicate<Member> preferred,
+      long nowNanos) {
     Candidates candidates = candidates(view, service, nowNanos);
-    Optional<Member> near = draw(candidates.near(), excluded, nowNanos);
-    Optional<Member> any = draw(candidates.all(), excluded, nowNanos);
+    return pickAmong(candidates, m -> !excluded.contains(m.id()) && preferred.test(m), nowNanos)
+        .or(() -> pickAmong(candidates, m -> !excluded.contains(m.id()), nowNanos))
+        .or(() -> lastResort(candidates.all(), excluded));
+  }
+
+  private Optional<Member> pickAmong(
+      Candidates candidates, Predicate<Member> allowed, long nowNanos) {
+    Optional<Member> near = draw(candidates.near(), allowed, nowNanos);
+    Optional<Member> any = draw(candidates.all(), allowed, nowNanos);
     if (near.isEmpty()) {
-      near = draw(candidates.all(), excluded, nowNanos);
-    }
-    if (near.isEmpty() && any.isEmpty()) {
-      return lastResort(candidates.all(), excluded);
+      near = draw(candidates.all(), allowed, nowNanos);
     }
     if (near.isEmpty() || any.isEmpty()) {
       return near.isPresent() ? near : any;
@@ -152,28 +162,28 @@
         .removeIf(entry -> !present.contains(entry.getKey()) && entry.getValue().inFlight() == 0);
   }
 
-  private Optional<Member> draw(List<Member> members, Set<String> excluded, long nowNanos) {
+  private Optional<Member> draw(List<Member> members, Predicate<Member> allowed, long nowNanos) {
     if (members.isEmpty()) {
       return Optional.empty();
     }
     for (int i = 0; i < MAX_DRAWS; i++) {
       Member member = members.get(random.nextInt(members.size()));
-      if (isUsable(member, excluded, nowNanos)) {
+      if (isUsable(member, allowed, nowNanos)) {
         return Optional.of(member);
       }
     }
     int offset = random.nextInt(members.size());
     for (int i = 0; i < members.size(); i++) {
       Member member = members.get((offset + i) % members.size());
-      if (isUsable(member, excluded, nowNanos)) {
+      if (isUsable(member, allowed, nowNanos)) {
         return Optional.of(member);
       }
     }
     return Optional.empty();
   }
 
-  private boolean isUsable(Member member, Set<String> excluded, long nowNanos) {
-    if (excluded.contains(member.id())) {
+  private boolean isUsable(Member member, Predicate<Member> allowed, long nowNanos) {
+    if (!allowed.test(member)) {
       return false;
     }
     TargetStats one = statsOf(member, nowNanos);
--- a/core/src/test/java/dev/arbutusroad/core/admission/LevelTableTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/admission/LevelTableTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import dev.arbutusroad.core.testing.Seeds;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -49,6 +50,20 @@
     assertThat(rank("a", 500)).isZero();
   }
 
+  /** Guards against calls that are refused although one target of the service has room for them. */
+  @Test
+  void callIsRefusedOnlyBelowTheLevelsOfAllTargets() {
+    List<String> targets = List.of("m1", "m2", "m3");
+    for (String target : List.of("m1", "m2")) {
+      table.learn(target, "a", STRICT, 0);
+    }
+    assertThat(table.lowest(targets, "a", 0)).isEqualTo(AdmissionLevel.OPEN);
+    table.learn("m3", "a", new AdmissionLevel(7), 0);
+    assertThat(table.lowest(targets, "a", 0).rank()).isEqualTo(7);
+    assertThat(table.lowest(List.of("m1", "m2"), "a", 0)).isEqualTo(STRICT);
+    assertThat(table.lowest(List.of(), "a", 0)).isEqualTo(AdmissionLevel.OPEN);
+  }
+
   /**
    * Guards against levels that order calls differently at two nodes, and that change on the way.
    */
--- a/core/src/test/java/dev/arbutusroad/core/routing/TargetTableTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/routing/TargetTableTest.java
@@ -60,6 +60,22 @@
     assertThat(cold).isLessThan(warm / 2);
   }
 
+  /** Guards against calls to a target that refuses them while another one has room. */
+  @Test
+  void targetsLikelyToTakeTheCallGoFirst() {
+    FakeView view = new FakeView(1, members(3, "muscat-a"));
+    for (int i = 0; i < 200; i++) {
+      assertThat(
+              table
+                  .pick(view, "orders", Set.of(), m -> m.id().equals("m2"), nowNanos)
+                  .map(Member::id))
+          .contains("m2");
+      assertThat(table.pick(view, "orders", Set.of("m2"), m -> m.id().equals("m2"), nowNanos))
+          .isPresent();
+      assertThat(table.pick(view, "orders", Set.of(), m -> false, nowNanos)).isPresent();
+    }
+  }
+
   /** Guards against a service that lacks a warm target for long after its node was replaced. */
   @Test
   void rampIsOverAfterThreeSeconds() {
@@ -167,15 +183,16 @@
   void excludedTargetIsNotPicked() {
     FakeView view = new FakeView(1, members(2, "muscat-a"));
 
-    assertThat(table.pick(view, "orders", Set.of("m0", "m1"), nowNanos)).isEmpty();
-    assertThat(table.pick(view, "orders", Set.of("m0"), nowNanos).map(Member::id)).contains("m1");
+    assertThat(table.pick(view, "orders", Set.of("m0", "m1"), m -> true, nowNanos)).isEmpty();
+    assertThat(table.pick(view, "orders", Set.of("m0"), m -> true, nowNanos).map(Member::id))
+        .contains("m1");
   }
 
   private Map<String, Integer> picks(FakeView view, int count) {
     Map<String, Integer> picks = new HashMap<>();
     for (int i = 0; i < count; i++) {
       table
-          .pick(view, "orders", Set.of(), nowNanos)
+          .pick(view, "orders", Set.of(), m -> true, nowNanos)
           .ifPresent(member -> picks.merge(member.id(), 1, Integer::sum));
     }
     return picks;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -79,7 +79,7 @@
         new TargetTable(options.region(), options.failureDomain(), random.split(), ticker.nanos());
     inbound = new InboundCalls(tokens);
     Hop hop = new Hop(connections);
-    overload = new OverloadControl(ticker, random.split(), () -> members.get().all().size());
+    overload = new OverloadControl(ticker, random.split(), members);
     gate =
         new Gate(
             lease,
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -205,8 +205,14 @@
       refuse(call.received(), call.finalFailure(Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
       return;
     }
+    CallContext template = call.context(0, 0);
     Optional<Member> picked =
-        targets.pick(members.get(), call.received().service(), call.tried(), now);
+        targets.pick(
+            members.get(),
+            call.received().service(),
+            call.tried(),
+            member -> overload.admits(member, template),
+            now);
     if (picked.isEmpty()) {
       boolean known = !members.get().serving(call.received().service()).isEmpty();
       refuse(call.received(), call.failure(known));
@@ -262,7 +268,7 @@
             unused -> allowance.returnUnused(grant, unused), () -> allowance.forfeit(grant));
     ArbutusHeaders.text(answer.headers(), ArbutusHeaders.LEVEL)
         .flatMap(AdmissionLevel::parse)
-        .ifPresent(level -> overload.learn(call, level));
+        .ifPresent(level -> overload.learn(call, settlement.member(), level));
     Optional<ResultCode> code = resultCode(answer);
     boolean byTarget = code.isEmpty() || code.orElseThrow() == ResultCode.TARGET_REFUSED;
     if (byTarget && !call.isRepeated()) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -8,6 +8,8 @@
 import dev.arbutusroad.core.fatal.FatalEntry;
 import dev.arbutusroad.core.fatal.FatalRequests;
 import dev.arbutusroad.core.fatal.Fingerprint;
+import dev.arbutusroad.core.membership.Member;
+import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.retry.Backoff;
@@ -22,7 +24,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /** The state of the decisions under overload, shared by gate and exit. Owned by the data path. */
@@ -39,6 +41,7 @@
   private final FatalRequests fatal = new FatalRequests();
   private final GateAdmission admission;
   private final LevelTable levels = new LevelTable();
+  private final Supplier<MemberView> members;
   private final RetryBudgets budgets;
   private final RetryRules rules;
   private final SortedMap<String, Long> decisions = new TreeMap<>();
@@ -46,8 +49,9 @@
   private long publishedNanos;
   private volatile OverloadState published;
 
-  OverloadControl(Ticker ticker, RandomGenerator random, IntSupplier nodes) {
-    budgets = new RetryBudgets(nodes);
+  OverloadControl(Ticker ticker, RandomGenerator random, Supplier<MemberView> members) {
+    this.members = members;
+    budgets = new RetryBudgets(() -> members.get().all().size());
     this.ticker = ticker;
     controller =
         new AdmissionController(limit, AdmissionController.DEFAULT_QUEUE_CAPACITY, ticker.nanos());
@@ -67,7 +71,7 @@
     if (fatal.check(fingerprint, now) == FatalRequests.Verdict.REFUSE) {
       return Optional.of(Failure.of(ResultCode.FATAL_REQUEST));
     }
-    AdmissionLevel level = levels.level(service, template.kind(), now);
+    AdmissionLevel level = level(service, template.kind(), now);
     if (level.admits(template.importance(), template.originId())) {
       return Optional.empty();
     }
@@ -87,10 +91,25 @@
     return fatal.isImplicated(fingerprint, ticker.nanos());
   }
 
+  /** Whether a target is likely to take a call, as far as its answers tell. */
+  boolean admits(Member member, CallContext context) {
+    return levels
+        .level(member.id(), context.kind(), ticker.nanos())
+        .admits(context.importance(), context.originId());
+  }
+
   /** Takes in the level that a response carried. */
-  void learn(OutgoingCall call, AdmissionLevel seen) {
-    levels.learn(call.received().service(), call.policy().kind(), seen, ticker.nanos());
-    call.parent().noteLevel(seen);
+  void learn(OutgoingCall call, Member member, AdmissionLevel seen) {
+    long now = ticker.nanos();
+    String kind = call.policy().kind();
+    levels.learn(member.id(), kind, seen, now);
+    call.parent().noteLevel(level(call.received().service(), kind, now));
+  }
+
+  /** The level below which all targets of a service refuse calls. */
+  private AdmissionLevel level(String service, String kind, long nowNanos) {
+    List<String> targets = members.get().serving(service).stream().map(Member::id).toList();
+    return levels.lowest(targets, kind, nowNanos);
   }
 
   /** Decides on another attempt and takes its cost. */
--- a/node/src/test/java/dev/arbutusroad/node/datapath/OverloadTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/OverloadTest.java
@@ -99,7 +99,7 @@
     assertThat(strict.heads()).hasSize(1);
     DataPath path = nodes.paths().get(0);
     assertThat(state(nodes, path).learnedLevels())
-        .containsEntry("orders/test", new AdmissionLevel(AdmissionLevel.MAX_RANK).format());
+        .containsEntry("orders0/test", new AdmissionLevel(AdmissionLevel.MAX_RANK).format());
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
     while (get(entry, "/").statusCode() != 200 && System.nanoTime() < until) {
       Thread.onSpinWait();
