--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -72,14 +72,15 @@
     SplittableRandom random = new SplittableRandom(tokens.nextLong());
     answers = new Answers(options.protocol(), new RetryAdvice(random.split()));
     CallLog log = new CallLog(options.log(), ticker);
-    lease = new TargetLease(options.targetLeaseMillis());
+    lease = new TargetLease(options.limits().targetLeaseMillis());
     codec = new ContextCodec(options.sharedSecret());
-    connections = new HttpConnections(thread, ticker);
+    connections =
+        new HttpConnections(thread, ticker, (int) options.limits().connectTimeoutMillis());
     targets =
         new TargetTable(options.region(), options.failureDomain(), random.split(), ticker.nanos());
     inbound = new InboundCalls(tokens);
     Hop hop = new Hop(connections);
-    overload = new OverloadControl(ticker, random.split(), members);
+    overload = new OverloadControl(ticker, random.split(), members, options.limits().queueLimit());
     gate =
         new Gate(
             lease,
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPathOptions.java
@@ -14,7 +14,8 @@
  * @param region the region of the host
  * @param failureDomain the failure domain of the host
  * @param sharedSecret the installation's secret, known to its nodes only
- * @param targetLeaseMillis how long a target that does not renew its announcement is believed
+ * @param limits how long a target that does not renew its announcement is believed, how long
+ *     opening a connection may take, and how many calls may wait
  * @param protocol how callers and targets state the terms of a call
  * @param callerService the service of calls on the exit listener, if targets pass no tokens
  * @param target where the local target is, if it is known before it announces itself
@@ -25,7 +26,7 @@
     String region,
     String failureDomain,
     String sharedSecret,
-    long targetLeaseMillis,
+    Limits limits,
     CallProtocol protocol,
     Optional<String> callerService,
     Optional<InetSocketAddress> target,
@@ -35,6 +36,7 @@
     Objects.requireNonNull(region, "region");
     Objects.requireNonNull(failureDomain, "failureDomain");
     Objects.requireNonNull(sharedSecret, "sharedSecret");
+    Objects.requireNonNull(limits, "limits");
     Objects.requireNonNull(protocol, "protocol");
     Objects.requireNonNull(callerService, "callerService");
     Objects.requireNonNull(target, "target");
@@ -49,7 +51,7 @@
         region,
         failureDomain,
         sharedSecret,
-        Limits.defaults().targetLeaseMillis(),
+        Limits.defaults(),
         new ArbutusProtocol(),
         Optional.empty(),
         Optional.empty(),
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -49,12 +49,17 @@
   private long publishedNanos;
   private volatile OverloadState published;
 
-  OverloadControl(Ticker ticker, RandomGenerator random, Supplier<MemberView> members) {
+  /**
+   * Creates the state without any call.
+   *
+   * @param queueLimit how many calls may wait for admission
+   */
+  OverloadControl(
+      Ticker ticker, RandomGenerator random, Supplier<MemberView> members, int queueLimit) {
     this.members = members;
     budgets = new RetryBudgets(() -> members.get().all().size());
     this.ticker = ticker;
-    controller =
-        new AdmissionController(limit, AdmissionController.DEFAULT_QUEUE_CAPACITY, ticker.nanos());
+    controller = new AdmissionController(limit, queueLimit, ticker.nanos());
     admission = new GateAdmission(controller, fatal, ticker);
     rules = new RetryRules(new Backoff(random));
     published = state();
--- a/node/src/main/java/dev/arbutusroad/node/http/ConnectionPool.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ConnectionPool.java
@@ -21,7 +21,6 @@
 /** The connections to one address; the one used last is used next, so that surplus ones age. */
 final class ConnectionPool {
   static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(30);
-  static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /** Probes find a silent connection within {@code idle + interval * count} seconds. */
   private static final int PROBE_IDLE_SECONDS = 2;
@@ -32,12 +31,15 @@
   private final EventLoopThread thread;
   private final InetSocketAddress address;
   private final Ticker ticker;
+  private final int connectTimeoutMillis;
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
   private final Set<ClientConnection> open = new HashSet<>();
   private long lastUsedNanos;
   private boolean closed;
 
-  ConnectionPool(EventLoopThread thread, InetSocketAddress address, Ticker ticker) {
+  ConnectionPool(
+      EventLoopThread thread, InetSocketAddress address, Ticker ticker, int connectTimeoutMillis) {
+    this.connectTimeoutMillis = connectTimeoutMillis;
     this.thread = thread;
     this.address = address;
     this.ticker = ticker;
@@ -64,7 +66,7 @@
         .group(thread.loop())
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_SECONDS)
--- a/node/src/main/java/dev/arbutusroad/node/http/HttpConnections.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/HttpConnections.java
@@ -12,10 +12,17 @@
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
   private final EventLoopThread thread;
   private final Ticker ticker;
+  private final int connectTimeoutMillis;
 
-  public HttpConnections(EventLoopThread thread, Ticker ticker) {
+  /**
+   * Creates no connections yet.
+   *
+   * @param connectTimeoutMillis how long opening a connection may take
+   */
+  public HttpConnections(EventLoopThread thread, Ticker ticker, int connectTimeoutMillis) {
     this.thread = thread;
     this.ticker = ticker;
+    this.connectTimeoutMillis = connectTimeoutMillis;
   }
 
   /** The thread that attempts run on. */
@@ -31,7 +38,10 @@
   public Attempt send(
       InetSocketAddress address, HttpRequest head, Body body, AttemptListener listener) {
     Attempt attempt = new Attempt(head, body, listener);
-    pools.computeIfAbsent(address, to -> new ConnectionPool(thread, to, ticker)).send(attempt);
+    pools
+        .computeIfAbsent(
+            address, to -> new ConnectionPool(thread, to, ticker, connectTimeoutMillis))
+        .send(attempt);
     return attempt;
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -65,8 +65,8 @@
   /** Time for the news of leaving to reach the other nodes, with gossip rounds of 200 ms. */
   private static final long MEMBER_NOTICE_MILLIS = 700;
 
-  private static final long DRAIN_POLL_MILLIS = 20;
-  private static final long WRITE_LIMIT_MILLIS = 10_000;
+  /** Time to end the process, as the platform kills it at the drain limit. */
+  private static final long EXIT_MARGIN_MILLIS = 500;
 
   private final NodeSettings settings;
   private final Deployment deployment;
@@ -162,7 +162,9 @@
    * the calls in progress up to the drain limit of the settings.
    */
   public void drain() {
-    long deadline = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limits.drainLimitMillis());
+    long deadline =
+        ticker.nanos()
+            + TimeUnit.MILLISECONDS.toNanos(limits.drainLimitMillis() - EXIT_MARGIN_MILLIS);
     Logger.info("event=drain_started node={}", settings.id());
     eventLoop.loop().execute(dataPath::announceLeaving);
     sleep(CALLER_NOTICE_MILLIS);
@@ -171,17 +173,14 @@
     eventLoop.loop().execute(dataPath::drain);
     Future<Void> allClosed =
         CompletableFuture.allOf(caller.closeGracefully(), exit.closeGracefully());
-    while (callsInProgress() > 0 && deadline - ticker.nanos() > 0) {
-      sleep(DRAIN_POLL_MILLIS);
-    }
-    awaitLastBytes(allClosed);
+    awaitClosed(allClosed, deadline - ticker.nanos());
     Logger.info("event=drain_ended node={} calls_cut={}", settings.id(), callsInProgress());
   }
 
-  /** Waits until what has been answered is written: a call ends before its last bytes are sent. */
-  private static void awaitLastBytes(Future<Void> allClosed) {
+  /** Waits until every call is answered to its last byte, as connections close after that. */
+  private static void awaitClosed(Future<Void> allClosed, long limitNanos) {
     try {
-      allClosed.get(WRITE_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+      allClosed.get(Math.max(0, limitNanos), TimeUnit.NANOSECONDS);
     } catch (ExecutionException | TimeoutException e) {
       Logger.warn("event=connections_not_closed reason=\"{}\"", e.toString());
     } catch (InterruptedException e) {
@@ -290,7 +289,7 @@
             settings.region(),
             settings.failureDomain(),
             new String(settings.sharedSecret().bytes(), StandardCharsets.UTF_8),
-            settings.limits().targetLeaseMillis(),
+            settings.limits(),
             deployment.calls(),
             settings.service(),
             settings.target(),
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
@@ -6,6 +6,7 @@
 import dev.arbutusroad.core.config.PolicyResolver;
 import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.resource.Closer;
+import dev.arbutusroad.core.settings.Limits;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.http.EventLoopThread;
 import dev.arbutusroad.node.http.HttpConnections;
@@ -75,7 +76,7 @@
             "r",
             "d",
             "a secret for tests only",
-            4_500,
+            Limits.defaults(),
             new PlatformCallProtocol(),
             Optional.of("orders"),
             Optional.of(target.address()),
@@ -84,7 +85,7 @@
     return new TargetSearch(
         options,
         lease,
-        new HttpConnections(thread, ticker),
+        new HttpConnections(thread, ticker, 1_000),
         () -> Optional.of(new HealthPaths()),
         new ServingListener(),
         ticker);
--- a/systemtest/src/test/java/dev/arbutusroad/systemtest/Installation.java
+++ b/systemtest/src/test/java/dev/arbutusroad/systemtest/Installation.java
@@ -183,7 +183,7 @@
             {
               "id": "%s", "host": "127.0.0.1", "region": "muscat", "failureDomain": "muscat-a",
               "listeners": { "caller": "%s", "exit": "%s", "peer": "%s", "admin": "%s" },
-              "platform": "%s", "seeds": ["%s"],
+              "platform": "%s", "seeds": ["%s"], "drainLimitMillis": 8000,
               "sharedSecret": "process-test-only-secret-0123456789abcdef"
             }
             """
--- a/systemtest/src/test/java/dev/arbutusroad/systemtest/ReplacementTest.java
+++ b/systemtest/src/test/java/dev/arbutusroad/systemtest/ReplacementTest.java
@@ -5,6 +5,9 @@
 import dev.arbutusroad.systemtest.Installation.Node;
 import dev.arbutusroad.tools.platform.PlatformFault;
 import dev.arbutusroad.tools.target.TargetStandIn;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -73,6 +76,27 @@
     }
   }
 
+  /** Guards against a node that is killed at its drain limit because of a caller that stalls. */
+  @Test
+  void stalledCallerDoesNotKeepANodeBeyondItsDrainLimit() throws Exception {
+    awaitTargets();
+    Node node = nodes.get(0);
+    try (Socket stalled = new Socket(InetAddress.getLoopbackAddress(), node.caller().getPort())) {
+      stalled
+          .getOutputStream()
+          .write(
+              "POST /p HTTP/1.1\r\nHost: orders\r\nContent-Length: 9\r\n\r\nhalf"
+                  .getBytes(StandardCharsets.US_ASCII));
+      Installation.await(
+          "the call", () -> installation.dump(node).contains("\"callsInProgress\" : 1"));
+      long start = System.nanoTime();
+      node.terminate();
+      assertThat(node.process().waitFor(60, TimeUnit.SECONDS)).isTrue();
+      // The drain limit is 8 s; a wait for the connection's last bytes used to add 10 s.
+      assertThat(TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - start)).isLessThan(12);
+    }
+  }
+
   @Test
   void acceptedVersionIsInForceEverywhereAlthoughTheStoreGoesDown() throws Exception {
     installation.apply(SECOND_VERSION, 1);
