Send a large upload to another target if none of it has been sent

Found by reading the new data path: a streamed body counted as sent as soon as an attempt was made, so an upload over 64 KiB whose node could not be reached was refused. It counts from its first use now; the test failed before.

--- a/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
@@ -5,6 +5,7 @@
 import dev.arbutusroad.node.http.Exchange;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -22,7 +23,6 @@
   private final Optional<byte[]> held;
   private final Optional<Body> stream;
   private final boolean stated;
-  private boolean streamed;
 
   private RequestBody(Optional<byte[]> held, Optional<Body> stream, boolean stated) {
     this.held = held;
@@ -48,18 +48,14 @@
     }
   }
 
-  /** Whether the body can be sent now: always if it is held, once if it is streamed. */
+  /** Whether the body can be sent now: always if it is held, until it was begun if not. */
   boolean isAvailable() {
-    return held.isPresent() || !streamed;
+    return stream.filter(Body::isConsumed).isEmpty();
   }
 
   /** The body for one attempt. */
   Body forAttempt() {
-    if (held.isPresent()) {
-      return Body.of(Unpooled.wrappedBuffer(held.orElseThrow()));
-    }
-    streamed = true;
-    return stream.orElseThrow();
+    return stream.orElseGet(() -> Body.of(Unpooled.wrappedBuffer(held.orElseThrow())));
   }
 
   /** The length to state with the body; empty if it has none to state or is streamed. */
@@ -77,7 +73,7 @@
   /** Up to {@code limit} bytes from the start of the body; none if it is not held. */
   byte[] start(int limit) {
     byte[] body = held.orElse(NONE);
-    return body.length <= limit ? body : java.util.Arrays.copyOf(body, limit);
+    return body.length <= limit ? body : Arrays.copyOf(body, limit);
   }
 
   private static final class Collector implements BodySink {
--- a/node/src/main/java/dev/arbutusroad/node/http/Body.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Body.java
@@ -108,6 +108,11 @@
     }
   }
 
+  /** Whether the body has a sink, so that no other one can have it. */
+  public boolean isConsumed() {
+    return sink != null;
+  }
+
   /** Reads the body and drops it. */
   public void discard() {
     consume(
--- a/node/src/test/java/dev/arbutusroad/node/datapath/DataPathTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/DataPathTest.java
@@ -8,7 +8,9 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -319,6 +321,35 @@
     assertThat(now.headers().firstValue("arbutus-result")).contains("102 LEAVING");
   }
 
+  /** Guards against a large upload that is refused although none of it has been sent. */
+  @Test
+  void uploadThatCouldNotBeSentGoesToAnotherTarget() throws Exception {
+    byte[] body = new byte[(int) RequestBody.MAX_HELD_BYTES + 1];
+    RawTarget target = target((head, in, out) -> in.readNBytes(body.length).length > 0 && ok(out));
+    TwoNodes nodes = closer.register(new TwoNodes(TwoNodes.policy(true, 0, 5_000)));
+    for (int i = 0; i < 2; i++) {
+      nodes.member("orders", unusedAddress());
+    }
+    nodes.serving("orders", target.address());
+    InetSocketAddress entry = nodes.entry();
+
+    for (int i = 0; i < 10; i++) {
+      HttpRequest upload =
+          HttpRequest.newBuilder(URI.create("http://" + Addresses.format(entry) + "/"))
+              .header(ArbutusHeaders.SERVICE, "orders")
+              .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+              .build();
+      assertThat(client.send(upload, HttpResponse.BodyHandlers.ofString()).statusCode())
+          .isEqualTo(200);
+    }
+  }
+
+  private static InetSocketAddress unusedAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return Addresses.of("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
   /** Guards against a node that wakes from a pause and takes calls with an outdated view. */
   @Test
   void pausedNodeTakesNoCalls() throws Exception {
