--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
@@ -0,0 +1,88 @@
+package dev.arbutusroad.node.datapath;
+
+import dev.arbutusroad.core.config.CallPolicy;
+import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.label.CallAttributes;
+import dev.arbutusroad.core.time.Ticker;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** Resolves the terms of a call: its importance, its deadline and who pays for its retries. */
+final class CallTerms {
+  /** Less than the distance between two ranks of routes, over the depth of usual call chains. */
+  private static final int CHILD_STEP = 2;
+
+  private final Ticker ticker;
+  private final RandomGenerator random;
+
+  CallTerms(Ticker ticker, RandomGenerator random) {
+    this.ticker = ticker;
+    this.random = random;
+  }
+
+  /**
+   * Opens a call.
+   *
+   * @param caller the service of the local target, or {@code external} for a client
+   * @param ownRetries whether the call has retries of its own
+   * @param parent the call that it is made for, if it is known
+   */
+  OutgoingCall open(
+      ReceivedCall received,
+      String caller,
+      boolean ownRetries,
+      Optional<InboundCall> parent,
+      PolicyResolver resolver,
+      RequestBody body) {
+    CallAttributes attributes = received.attributes(caller);
+    CallPolicy policy = resolver.resolve(attributes);
+    long deadlineNanos = deadline(received, policy, parent);
+    CallContext template =
+        new CallContext(
+            parent.map(call -> call.context().originId()).orElseGet(random::nextLong),
+            policy.kind(),
+            parent
+                .map(call -> childImportance(call, ownRetries))
+                .orElse(importance(policy, ownRetries)),
+            policy.unrepeatable(),
+            ownRetries ? policy.retryAllowance() : 0,
+            0,
+            caller,
+            parent.map(call -> call.context().depth() + 1).orElse(1),
+            resolver.version(),
+            parent.map(call -> call.context().repeated()).orElse(false));
+    InboundCall payer =
+        ownRetries || parent.isEmpty()
+            ? new InboundCall("", template, deadlineNanos, parent)
+            : parent.orElseThrow();
+    return new OutgoingCall(received, policy, payer, template, ticker.nanos(), deadlineNanos, body);
+  }
+
+  /**
+   * A call for running work keeps its importance; where each call has retries of its own, it goes
+   * before new work of that importance, as its refusal would waste what has been done.
+   */
+  private static int childImportance(InboundCall parent, boolean ownRetries) {
+    int importance = parent.context().importance();
+    return ownRetries ? Math.min(CallPolicy.MAX_IMPORTANCE, importance + CHILD_STEP) : importance;
+  }
+
+  /** A target's call without a context is background work unless a rule gives its importance. */
+  private static int importance(CallPolicy policy, boolean ownRetries) {
+    boolean byDefault = policy.kind().equals(CallPolicy.DEFAULT_KIND);
+    return ownRetries || !byDefault
+        ? policy.importance()
+        : Math.min(policy.importance(), CallPolicy.NORMAL_IMPORTANCE - 1);
+  }
+
+  private long deadline(ReceivedCall received, CallPolicy policy, Optional<InboundCall> parent) {
+    long limitMillis =
+        received
+            .deadlineMillis()
+            .map(own -> Math.min(own, policy.deadlineMillis()))
+            .orElse(policy.deadlineMillis());
+    long own = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+    return parent.map(call -> Math.min(call.deadlineNanos(), own)).orElse(own);
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -1,9 +1,7 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.admission.AdmissionLevel;
-import dev.arbutusroad.core.config.CallPolicy;
 import dev.arbutusroad.core.config.PolicyResolver;
-import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.membership.Member;
 import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.result.Failure;
@@ -21,7 +19,6 @@
 import java.util.Arrays;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -31,9 +28,6 @@
 final class Exit {
   private static final int MAX_DEPTH = 64;
 
-  /** Less than the distance between two ranks of routes, over the depth of usual call chains. */
-  private static final int CHILD_STEP = 2;
-
   private static final Map<Integer, ResultCode> CODES =
       Arrays.stream(ResultCode.values())
           .collect(Collectors.toUnmodifiableMap(ResultCode::number, Function.identity()));
@@ -49,6 +43,7 @@
   private final NodeDuties duties;
   private final Answers answers;
   private final CallLog log;
+  private final CallTerms terms;
 
   Exit(
       Supplier<Optional<PolicyResolver>> policies,
@@ -69,6 +64,7 @@
     this.codec = codec;
     this.ticker = ticker;
     this.random = random;
+    this.terms = new CallTerms(ticker, random);
     this.overload = overload;
     this.duties = duties;
     this.answers = answers;
@@ -106,7 +102,8 @@
     }
     RequestBody.read(
         received.exchange(),
-        body -> begin(open(received, caller, ownRetries, parent, resolver.orElseThrow(), body)));
+        body ->
+            begin(terms.open(received, caller, ownRetries, parent, resolver.orElseThrow(), body)));
   }
 
   /** Finds where a call goes; empty if there are routes and none fits. */
@@ -140,64 +137,6 @@
     }
   }
 
-  private OutgoingCall open(
-      ReceivedCall received,
-      String caller,
-      boolean ownRetries,
-      Optional<InboundCall> parent,
-      PolicyResolver resolver,
-      RequestBody body) {
-    CallAttributes attributes = received.attributes(caller);
-    CallPolicy policy = resolver.resolve(attributes);
-    long deadlineNanos = deadline(received, policy, parent);
-    CallContext template =
-        new CallContext(
-            parent.map(call -> call.context().originId()).orElseGet(random::nextLong),
-            policy.kind(),
-            parent
-                .map(call -> childImportance(call, ownRetries))
-                .orElse(importance(policy, ownRetries)),
-            policy.unrepeatable(),
-            ownRetries ? policy.retryAllowance() : 0,
-            0,
-            caller,
-            parent.map(call -> call.context().depth() + 1).orElse(1),
-            resolver.version(),
-            parent.map(call -> call.context().repeated()).orElse(false));
-    InboundCall payer =
-        ownRetries || parent.isEmpty()
-            ? new InboundCall("", template, deadlineNanos, parent)
-            : parent.orElseThrow();
-    return new OutgoingCall(received, policy, payer, template, ticker.nanos(), deadlineNanos, body);
-  }
-
-  /**
-   * A call for running work keeps its importance; where each call has retries of its own, it goes
-   * before new work of that importance, as its refusal would waste what has been done.
-   */
-  private static int childImportance(InboundCall parent, boolean ownRetries) {
-    int importance = parent.context().importance();
-    return ownRetries ? Math.min(CallPolicy.MAX_IMPORTANCE, importance + CHILD_STEP) : importance;
-  }
-
-  /** A target's call without a context is background work unless a rule gives its importance. */
-  private static int importance(CallPolicy policy, boolean ownRetries) {
-    boolean byDefault = policy.kind().equals(CallPolicy.DEFAULT_KIND);
-    return ownRetries || !byDefault
-        ? policy.importance()
-        : Math.min(policy.importance(), CallPolicy.NORMAL_IMPORTANCE - 1);
-  }
-
-  private long deadline(ReceivedCall received, CallPolicy policy, Optional<InboundCall> parent) {
-    long limitMillis =
-        received
-            .deadlineMillis()
-            .map(own -> Math.min(own, policy.deadlineMillis()))
-            .orElse(policy.deadlineMillis());
-    long own = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
-    return parent.map(call -> Math.min(call.deadlineNanos(), own)).orElse(own);
-  }
-
   private void attempt(OutgoingCall call) {
     long now = ticker.nanos();
     long remainingNanos = call.deadlineNanos() - now;
