--- a/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
@@ -98,7 +98,7 @@
     public void flush() {}
 
     @Override
-    public void ended() {
+    public void completed() {
       then.accept(new RequestBody(Optional.of(bytes), Optional.empty(), true));
     }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/SmallBody.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/SmallBody.java
@@ -43,7 +43,7 @@
   public void flush() {}
 
   @Override
-  public void ended() {
+  public void completed() {
     then.accept(tooLong ? Optional.empty() : Optional.of(bytes.toString(StandardCharsets.UTF_8)));
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
@@ -137,7 +137,7 @@
     }
 
     @Override
-    public void ended() {
+    public void completed() {
       requestWritten = true;
       connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
       connection.flush();
--- a/node/src/main/java/dev/arbutusroad/node/http/Body.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Body.java
@@ -126,7 +126,7 @@
           public void flush() {}
 
           @Override
-          public void ended() {}
+          public void completed() {}
 
           @Override
           public void failed(Throwable cause) {}
@@ -185,7 +185,7 @@
     }
     if (complete && waiting.isEmpty()) {
       finish(new BodyEnd.Completed());
-      sink.ended();
+      sink.completed();
     } else {
       pace();
     }
--- a/node/src/main/java/dev/arbutusroad/node/http/BodySink.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/BodySink.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 
-/** Takes the parts of a body in order; the last call is {@link #ended} or {@link #failed}. */
+/** Takes the parts of a body in order; the last call is {@link #completed} or {@link #failed}. */
 public interface BodySink {
   /** Takes a part and its reference. */
   void part(ByteBuf part);
@@ -11,7 +11,7 @@
   void flush();
 
   /** The body is complete. */
-  void ended();
+  void completed();
 
   /** The body broke off. */
   void failed(Throwable cause);
--- a/node/src/main/java/dev/arbutusroad/node/http/ServerExchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ServerExchange.java
@@ -171,7 +171,7 @@
   }
 
   @Override
-  public void ended() {
+  public void completed() {
     ChannelFuture end = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     var unused = end.addListener(write -> written(write.isSuccess()));
   }
--- a/node/src/test/java/dev/arbutusroad/node/http/BodyTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/http/BodyTest.java
@@ -25,7 +25,7 @@
     body.consume(sink);
     body.add(part("b"));
     body.complete();
-    assertThat(sink.events).containsExactly("a", "flush", "b", "ended");
+    assertThat(sink.events).containsExactly("a", "flush", "b", "completed");
   }
 
   @Test
@@ -111,8 +111,8 @@
     }
 
     @Override
-    public void ended() {
-      events.add("ended");
+    public void completed() {
+      events.add("completed");
     }
 
     @Override
