--- a/core/src/main/java/dev/arbutusroad/core/admission/LevelTable.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/LevelTable.java
@@ -41,6 +41,11 @@
         }
       };
 
+  /** Whether no level is known, so that all calls are admitted. */
+  public boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
   /** Takes in the level of a response. */
   public void learn(String target, String kind, AdmissionLevel seen, long nowNanos) {
     Key key = new Key(target, kind);
--- a/core/src/main/java/dev/arbutusroad/core/fatal/FatalRequests.java
+++ b/core/src/main/java/dev/arbutusroad/core/fatal/FatalRequests.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -45,13 +46,19 @@
   private boolean answeredSinceBreak;
   private long deaths;
 
+  /** Whether no request is known, so that every one may run. */
+  public boolean isClear() {
+    return table.isEmpty() && broken.isEmpty();
+  }
+
   /** Whether a request may run. */
   public Verdict check(Fingerprint fingerprint, long nowNanos) {
     settle(nowNanos);
-    if (table.status(fingerprint, nowNanos).isEmpty()) {
+    Optional<FatalEntry.Status> status = table.status(fingerprint, nowNanos);
+    if (status.isEmpty()) {
       return Verdict.RUN;
     }
-    return switch (table.status(fingerprint, nowNanos).orElseThrow()) {
+    return switch (status.orElseThrow()) {
       case CLEARED -> Verdict.RUN;
       case MARKED -> Verdict.REFUSE;
       case SUSPECT -> suspectsInFlight.isEmpty() && broken.isEmpty() ? Verdict.RUN : Verdict.WAIT;
@@ -211,9 +218,7 @@
 
   /** Whether a request was in flight when a target died and has not completed since. */
   public boolean isSuspect(Fingerprint fingerprint, long nowNanos) {
-    return table
-        .status(fingerprint, nowNanos)
-        .filter(FatalEntry.Status.SUSPECT::equals)
-        .isPresent();
+    Optional<FatalEntry.Status> status = table.status(fingerprint, nowNanos);
+    return status.isPresent() && status.orElseThrow() == FatalEntry.Status.SUSPECT;
   }
 }
--- a/core/src/main/java/dev/arbutusroad/core/fatal/FatalTable.java
+++ b/core/src/main/java/dev/arbutusroad/core/fatal/FatalTable.java
@@ -31,8 +31,12 @@
 
   private final Set<Fingerprint> changes = new LinkedHashSet<>();
 
+  boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
   Optional<FatalEntry.Status> status(Fingerprint fingerprint, long nowNanos) {
-    Known known = entries.get(fingerprint);
+    Known known = entries.isEmpty() ? null : entries.get(fingerprint);
     if (known == null) {
       return Optional.empty();
     }
--- a/core/src/main/java/dev/arbutusroad/core/fatal/Fingerprint.java
+++ b/core/src/main/java/dev/arbutusroad/core/fatal/Fingerprint.java
@@ -17,6 +17,9 @@
 
   private static final byte SEPARATOR = 0;
 
+  /** Looking the algorithm up takes several times as long as hashing a request. */
+  private static final MessageDigest UNUSED_DIGEST = lookUp();
+
   /**
    * The fingerprint of a request.
    *
@@ -44,6 +47,14 @@
   }
 
   private static MessageDigest sha256() {
+    try {
+      return (MessageDigest) UNUSED_DIGEST.clone();
+    } catch (CloneNotSupportedException e) {
+      throw new IllegalStateException("the digests of the platform can be cloned", e);
+    }
+  }
+
+  private static MessageDigest lookUp() {
     try {
       return MessageDigest.getInstance("SHA-256");
     } catch (NoSuchAlgorithmException e) {
--- a/core/src/main/java/dev/arbutusroad/core/label/Labels.java
+++ b/core/src/main/java/dev/arbutusroad/core/label/Labels.java
@@ -38,6 +38,11 @@
     return new Labels(merged);
   }
 
+  /** Whether there is no label. */
+  public boolean isEmpty() {
+    return values.isEmpty();
+  }
+
   /** The value of a label, if it is present. */
   public Optional<String> value(String name) {
     return Optional.ofNullable(values.get(name));
--- a/core/src/main/java/dev/arbutusroad/core/routing/TargetTable.java
+++ b/core/src/main/java/dev/arbutusroad/core/routing/TargetTable.java
@@ -52,9 +52,20 @@
       Predicate<Member> preferred,
       long nowNanos) {
     Candidates candidates = candidates(view, service, nowNanos);
-    return pickAmong(candidates, m -> !excluded.contains(m.id()) && preferred.test(m), nowNanos)
-        .or(() -> pickAmong(candidates, m -> !excluded.contains(m.id()), nowNanos))
-        .or(() -> lastResort(candidates.all(), excluded));
+    Optional<Member> picked = pickAmong(candidates, new Allowed(excluded, preferred), nowNanos);
+    if (picked.isEmpty()) {
+      picked = pickAmong(candidates, new Allowed(excluded, any -> true), nowNanos);
+    }
+    return picked.isPresent() ? picked : lastResort(candidates.all(), excluded);
+  }
+
+  /** The members that a call may go to. */
+  private record Allowed(Set<String> excluded, Predicate<Member> preferred)
+      implements Predicate<Member> {
+    @Override
+    public boolean test(Member member) {
+      return (excluded.isEmpty() || !excluded.contains(member.id())) && preferred.test(member);
+    }
   }
 
   private Optional<Member> pickAmong(
@@ -216,6 +227,11 @@
   }
 
   private TargetStats statsOf(Member member, long nowNanos) {
-    return stats.computeIfAbsent(member.id(), id -> new TargetStats(nowNanos));
+    TargetStats known = stats.get(member.id());
+    if (known == null) {
+      known = new TargetStats(nowNanos);
+      stats.put(member.id(), known);
+    }
+    return known;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
@@ -3,6 +3,7 @@
 import dev.arbutusroad.node.http.Answer;
 import dev.arbutusroad.node.http.Body;
 import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.node.http.ExchangeListener;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -36,7 +37,7 @@
   }
 
   @Override
-  public void whenEnded(Consumer<Boolean> listener) {
+  public void whenEnded(ExchangeListener listener) {
     exchange.whenEnded(listener);
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusHeaders.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusHeaders.java
@@ -1,7 +1,9 @@
 package dev.arbutusroad.node.datapath;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -51,6 +53,9 @@
   /** Admission levels that a call met, on answers between nodes. */
   public static final String LEVEL = "arbutus-level";
 
+  /** Set in the lower case of an ASCII letter. */
+  private static final int LOWER_CASE_BIT = 0x20;
+
   private ArbutusHeaders() {}
 
   /** Reads a header as text. */
@@ -78,26 +83,38 @@
 
   /** Removes every header of the system, so that only what a node sets itself is passed on. */
   static void removeAll(HttpHeaders headers) {
-    List<String> names = new ArrayList<>(2);
-    for (Map.Entry<String, String> header : headers) {
-      if (startsWithPrefix(header.getKey())) {
-        names.add(header.getKey());
+    List<CharSequence> names = null;
+    for (Iterator<Map.Entry<CharSequence, CharSequence>> all = headers.iteratorCharSequence();
+        all.hasNext(); ) {
+      CharSequence name = all.next().getKey();
+      if (startsWithPrefix(name)) {
+        names = names == null ? new ArrayList<>(4) : names;
+        names.add(name);
+      }
+    }
+    if (names != null) {
+      for (CharSequence name : names) {
+        headers.remove(name);
       }
     }
-    names.forEach(headers::remove);
   }
 
-  /** The name in lower case if the header is a label, without the prefix. */
-  static Optional<String> labelName(String header) {
-    if (!startsWithPrefix(header)) {
-      return Optional.empty();
-    }
-    String name = header.toLowerCase(Locale.ROOT);
-    boolean isLabel = name.startsWith(LABEL_PREFIX) && name.length() > LABEL_PREFIX.length();
-    return isLabel ? Optional.of(name.substring(LABEL_PREFIX.length())) : Optional.empty();
+  /** Whether a header is a label. */
+  static boolean isLabel(CharSequence header) {
+    return header.length() > LABEL_PREFIX.length()
+        && startsWithPrefix(header)
+        && AsciiString.regionMatches(header, true, 0, LABEL_PREFIX, 0, LABEL_PREFIX.length());
+  }
+
+  /** The name of the label in a header, in lower case. */
+  static String labelName(CharSequence header) {
+    return header.toString().substring(LABEL_PREFIX.length()).toLowerCase(Locale.ROOT);
   }
 
-  private static boolean startsWithPrefix(String name) {
-    return PREFIX.regionMatches(true, 0, name, 0, PREFIX.length());
+  /** Most headers differ in the first character already. */
+  private static boolean startsWithPrefix(CharSequence name) {
+    return name.length() > PREFIX.length()
+        && (name.charAt(0) | LOWER_CASE_BIT) == PREFIX.charAt(0)
+        && AsciiString.regionMatches(name, true, 0, PREFIX, 0, PREFIX.length());
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
@@ -38,20 +38,11 @@
     CallAttributes attributes = received.attributes(caller);
     CallPolicy policy = resolver.resolve(attributes);
     long deadlineNanos = deadline(received, policy, parent);
+    int grant = ownRetries ? policy.retryAllowance() : 0;
     CallContext template =
-        new CallContext(
-            parent.map(call -> call.context().originId()).orElseGet(random::nextLong),
-            policy.kind(),
-            parent
-                .map(call -> childImportance(call, ownRetries))
-                .orElse(importance(policy, ownRetries)),
-            policy.unrepeatable(),
-            ownRetries ? policy.retryAllowance() : 0,
-            0,
-            caller,
-            parent.map(call -> call.context().depth() + 1).orElse(1),
-            resolver.version(),
-            parent.map(call -> call.context().repeated()).orElse(false));
+        parent.isPresent()
+            ? child(parent.orElseThrow(), policy, grant, ownRetries, caller, resolver.version())
+            : original(policy, grant, ownRetries, caller, resolver.version());
     InboundCall payer =
         ownRetries || parent.isEmpty()
             ? new InboundCall("", template, deadlineNanos, parent)
@@ -59,6 +50,42 @@
     return new OutgoingCall(received, policy, payer, template, ticker.nanos(), deadlineNanos, body);
   }
 
+  private CallContext original(
+      CallPolicy policy, int grant, boolean ownRetries, String caller, long version) {
+    return new CallContext(
+        random.nextLong(),
+        policy.kind(),
+        importance(policy, ownRetries),
+        policy.unrepeatable(),
+        grant,
+        0,
+        caller,
+        1,
+        version,
+        false);
+  }
+
+  private static CallContext child(
+      InboundCall parent,
+      CallPolicy policy,
+      int grant,
+      boolean ownRetries,
+      String caller,
+      long version) {
+    CallContext context = parent.context();
+    return new CallContext(
+        context.originId(),
+        policy.kind(),
+        childImportance(parent, ownRetries),
+        policy.unrepeatable(),
+        grant,
+        0,
+        caller,
+        context.depth() + 1,
+        version,
+        context.repeated());
+  }
+
   /**
    * A call for running work keeps its importance; where each call has retries of its own, it goes
    * before new work of that importance, as its refusal would waste what has been done.
@@ -77,12 +104,11 @@
   }
 
   private long deadline(ReceivedCall received, CallPolicy policy, Optional<InboundCall> parent) {
-    long limitMillis =
-        received
-            .deadlineMillis()
-            .map(own -> Math.min(own, policy.deadlineMillis()))
-            .orElse(policy.deadlineMillis());
+    long limitMillis = policy.deadlineMillis();
+    if (received.deadlineMillis().isPresent()) {
+      limitMillis = Math.min(limitMillis, received.deadlineMillis().orElseThrow());
+    }
     long own = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
-    return parent.map(call -> Math.min(call.deadlineNanos(), own)).orElse(own);
+    return parent.isPresent() ? Math.min(parent.orElseThrow().deadlineNanos(), own) : own;
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallTracker.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTracker.java
@@ -1,9 +1,10 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.node.http.ExchangeListener;
 
 /** Counts calls from their first byte to the last byte of their answer, for a graceful stop. */
-final class CallTracker {
+final class CallTracker implements ExchangeListener {
   private int inProgress;
   private long started;
   private long cut;
@@ -12,11 +13,13 @@
   void track(Exchange exchange) {
     inProgress++;
     started++;
-    exchange.whenEnded(
-        complete -> {
-          inProgress--;
-          cut += complete ? 0 : 1;
-        });
+    exchange.whenEnded(this);
+  }
+
+  @Override
+  public void exchangeEnded(boolean complete) {
+    inProgress--;
+    cut += complete ? 0 : 1;
   }
 
   int inProgress() {
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Cancellable.java
@@ -0,0 +1,11 @@
+package dev.arbutusroad.node.datapath;
+
+/** Something in progress that can be given up. */
+@FunctionalInterface
+interface Cancellable {
+  /** What has nothing to give up. */
+  Cancellable NOTHING = () -> {};
+
+  /** Gives up; has no effect after the end. */
+  void cancel();
+}
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -114,7 +114,8 @@
   public void handleCaller(Exchange exchange) {
     thread.check();
     ReceivedCall call = ReceivedCall.of(exchange, options.protocol());
-    Optional<CallContext> context = call.context().flatMap(codec::decode);
+    Optional<CallContext> context =
+        call.context().isPresent() ? codec.decode(call.context().orElseThrow()) : Optional.empty();
     Exchange noticed = draining ? new AnnotatedExchange(exchange, DataPath::addNotice) : exchange;
     if (duties.isMemberViewStale()) {
       noticed.answer(paused(context));
@@ -153,7 +154,8 @@
     thread.check();
     Exchange closing = draining ? new AnnotatedExchange(exchange, DataPath::addClose) : exchange;
     ReceivedCall call = ReceivedCall.of(closing, options.protocol());
-    Optional<InboundCall> parent = call.token().flatMap(inbound::find);
+    Optional<InboundCall> parent =
+        call.token().isPresent() ? inbound.find(call.token().orElseThrow()) : Optional.empty();
     if (!options.protocol().passesTokens()) {
       tracker.track(exchange);
       exit.handle(call, options.callerService().orElse(CallAttributes.EXTERNAL), true, parent);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -9,16 +9,19 @@
 import dev.arbutusroad.core.retry.FailedAttempt;
 import dev.arbutusroad.core.retry.RetryAllowance;
 import dev.arbutusroad.core.retry.RetryDecision;
+import dev.arbutusroad.core.route.Route;
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.http.Answer;
 import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.node.http.ExchangeListener;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -102,8 +105,7 @@
     }
     RequestBody.read(
         received.exchange(),
-        body ->
-            begin(terms.open(received, caller, ownRetries, parent, resolver.orElseThrow(), body)));
+        new Opening(received, caller, ownRetries, parent, resolver.orElseThrow()));
   }
 
   /** Finds where a call goes; empty if there are routes and none fits. */
@@ -111,29 +113,22 @@
     if (resolver.routes().isEmpty()) {
       return Optional.of(received);
     }
-    return resolver
-        .routes()
-        .orElseThrow()
-        .find(received.host(), received.path())
-        .map(route -> received.along(route, route.draw(random)));
+    Optional<Route> found = resolver.routes().orElseThrow().find(received.host(), received.path());
+    if (found.isEmpty()) {
+      return Optional.empty();
+    }
+    Route route = found.orElseThrow();
+    return Optional.of(received.along(route, route.draw(random)));
   }
 
   private void begin(OutgoingCall call) {
     ReceivedCall received = call.received();
-    received.exchange().whenEnded(complete -> ended(call, complete));
-    Optional<Failure> refusal =
-        overload.refusal(
-            received.service(),
-            call.context(0, 0),
-            received.fingerprint(call.body()),
-            call.parent());
-    refusal.ifPresentOrElse(failure -> refuse(received, failure), () -> attempt(call));
-  }
-
-  private void ended(OutgoingCall call, boolean complete) {
-    if (!complete) {
-      log.cancelled(call.received());
-      call.cancel();
+    received.exchange().whenEnded(new Departure(call, log));
+    Optional<Failure> refusal = overload.refusal(call);
+    if (refusal.isPresent()) {
+      refuse(received, refusal.orElseThrow());
+    } else {
+      attempt(call);
     }
   }
 
@@ -144,48 +139,39 @@
       refuse(call.received(), call.finalFailure(Failure.of(ResultCode.EXPIRED_IN_QUEUE)));
       return;
     }
-    CallContext template = call.context(0, 0);
     Optional<Member> picked =
         targets.pick(
             members.get(),
             call.received().service(),
             call.tried(),
-            member -> overload.admits(member, template),
+            overload.preference(call.context(0, 0)),
             now);
     if (picked.isEmpty()) {
       boolean known = !members.get().serving(call.received().service()).isEmpty();
       refuse(call.received(), call.failure(known));
       return;
     }
-    send(call, picked.orElseThrow(), now, Duration.ofNanos(remainingNanos));
+    send(call, picked.orElseThrow(), now, remainingNanos);
   }
 
-  private void send(OutgoingCall call, Member member, long startedNanos, Duration remaining) {
+  private void send(OutgoingCall call, Member member, long startedNanos, long remainingNanos) {
     int grant = call.parent().allowance().takeGrant();
     call.started(member);
     targets.started(member, startedNanos);
     overload.sent(call);
     Settlement settlement = new Settlement(targets, ticker, member, startedNanos);
-    String context = codec.encode(call.context(grant, remaining.toMillis()));
-    Runnable cancelAttempt =
+    long remainingMillis = TimeUnit.NANOSECONDS.toMillis(remainingNanos);
+    String context = codec.encode(call.context(grant, remainingMillis));
+    ExitAttempt attempt = new ExitAttempt(call, settlement, grant, context);
+    attempt.inProgress =
         hop.send(
             member.callerAddress(),
             call.received().request(),
-            headers -> addNodeHeaders(headers, call, context),
             call.body(),
-            remaining,
+            remainingNanos,
             ResultCode.OUTCOME_UNKNOWN,
-            outcome -> settle(call, settlement, grant, outcome));
-    call.onCancel(
-        () -> {
-          cancelAttempt.run();
-          settlement.abandoned();
-        });
-  }
-
-  private static void addNodeHeaders(HttpHeaders headers, OutgoingCall call, String context) {
-    call.received().passOn(headers);
-    headers.set(ArbutusHeaders.CONTEXT, context);
+            attempt);
+    call.onCancel(attempt);
   }
 
   private void settle(OutgoingCall call, Settlement settlement, int grant, HopOutcome outcome) {
@@ -202,12 +188,13 @@
       return;
     }
     Answer answer = ((HopOutcome.Answered) outcome).answer();
-    ArbutusHeaders.number(answer.headers(), ArbutusHeaders.UNUSED)
-        .ifPresentOrElse(
-            unused -> allowance.returnUnused(grant, unused), () -> allowance.forfeit(grant));
-    ArbutusHeaders.text(answer.headers(), ArbutusHeaders.LEVEL)
-        .flatMap(AdmissionLevel::parse)
-        .ifPresent(level -> overload.learn(call, settlement.member(), level));
+    Optional<Long> unused = ArbutusHeaders.number(answer.headers(), ArbutusHeaders.UNUSED);
+    if (unused.isPresent()) {
+      allowance.returnUnused(grant, unused.orElseThrow());
+    } else {
+      allowance.forfeit(grant);
+    }
+    learnLevel(call, settlement.member(), answer);
     Optional<ResultCode> code = resultCode(answer);
     boolean byTarget = code.isEmpty() || code.orElseThrow() == ResultCode.TARGET_REFUSED;
     if (byTarget && !call.isRepeated()) {
@@ -225,6 +212,14 @@
     call.received().exchange().answer(answer);
   }
 
+  private void learnLevel(OutgoingCall call, Member member, Answer answer) {
+    Optional<AdmissionLevel> level =
+        ArbutusHeaders.text(answer.headers(), ArbutusHeaders.LEVEL).flatMap(AdmissionLevel::parse);
+    if (level.isPresent()) {
+      overload.learn(call, member, level.orElseThrow());
+    }
+  }
+
   /** Has the member probed at once: probes in turn would find a dead one much later. */
   private void noteUnreachable(Member member, ResultCode code) {
     if (code == ResultCode.TARGET_UNREACHABLE || code == ResultCode.OUTCOME_UNKNOWN) {
@@ -257,7 +252,7 @@
     if (exchange.isEnded()) {
       return;
     }
-    if (overload.isSuspect(call.fingerprint())) {
+    if (overload.isSuspect(call)) {
       refuse(call.received(), call.finalFailure(failure));
     } else {
       attempt(call);
@@ -274,7 +269,7 @@
         call.policy().unrepeatable(),
         method.equals(HttpMethod.GET) || method.equals(HttpMethod.HEAD),
         duties.isConfigurationUnconfirmed(),
-        overload.isSuspect(call.fingerprint()),
+        overload.isSuspect(call),
         call.body().isAvailable(),
         otherTarget,
         call.attempts(),
@@ -292,13 +287,86 @@
 
   /** The result code of an answer that a node made itself. */
   private static Optional<ResultCode> resultCode(Answer answer) {
-    return ArbutusHeaders.text(answer.headers(), ArbutusHeaders.RESULT)
-        .flatMap(value -> ArbutusHeaders.parseNumber(value.split(" ", 2)[0]))
-        .map(number -> CODES.get(number.intValue()));
+    String result = answer.headers().get(ArbutusHeaders.RESULT);
+    return result == null
+        ? Optional.empty()
+        : ArbutusHeaders.parseNumber(result.split(" ", 2)[0])
+            .map(number -> CODES.get(number.intValue()));
   }
 
   private void refuse(ReceivedCall received, Failure failure) {
     log.refused(received, failure, policies.get().map(PolicyResolver::version).orElse(0L));
     received.exchange().answer(answers.failure(failure));
   }
+
+  /** Opens a call when its body may be sent. */
+  private final class Opening implements Consumer<RequestBody> {
+    private final ReceivedCall received;
+    private final String caller;
+    private final boolean ownRetries;
+    private final Optional<InboundCall> parent;
+    private final PolicyResolver resolver;
+
+    Opening(
+        ReceivedCall received,
+        String caller,
+        boolean ownRetries,
+        Optional<InboundCall> parent,
+        PolicyResolver resolver) {
+      this.received = received;
+      this.caller = caller;
+      this.ownRetries = ownRetries;
+      this.parent = parent;
+      this.resolver = resolver;
+    }
+
+    @Override
+    public void accept(RequestBody body) {
+      begin(terms.open(received, caller, ownRetries, parent, resolver, body));
+    }
+  }
+
+  /** Gives a call up when its caller has gone. */
+  private record Departure(OutgoingCall call, CallLog log) implements ExchangeListener {
+    @Override
+    public void exchangeEnded(boolean complete) {
+      if (!complete) {
+        log.cancelled(call.received());
+        call.cancel();
+      }
+    }
+  }
+
+  /** One attempt of a call, at one target. */
+  private final class ExitAttempt implements HopCaller, Cancellable {
+    private final OutgoingCall call;
+    private final Settlement settlement;
+    private final int grant;
+    private final String context;
+    private Cancellable inProgress = Cancellable.NOTHING;
+
+    ExitAttempt(OutgoingCall call, Settlement settlement, int grant, String context) {
+      this.call = call;
+      this.settlement = settlement;
+      this.grant = grant;
+      this.context = context;
+    }
+
+    @Override
+    public void complete(HttpHeaders headers) {
+      call.received().passOn(headers);
+      headers.set(ArbutusHeaders.CONTEXT, context);
+    }
+
+    @Override
+    public void attemptEnded(HopOutcome outcome) {
+      settle(call, settlement, grant, outcome);
+    }
+
+    @Override
+    public void cancel() {
+      inProgress.cancel();
+      settlement.abandoned();
+    }
+  }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
@@ -12,11 +12,9 @@
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.time.Ticker;
-import io.vavr.control.Either;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /**
  * Lets calls run on the local target: first past the isolation of suspects, then past admission.
@@ -52,18 +50,15 @@
   /**
    * Waits until the call may run. The slot must be released when the call has ended.
    *
-   * @param then takes the decision; called once, perhaps before this method returns, unless the
+   * @param call takes the decision; called once, perhaps before this method returns, unless the
    *     wait is cancelled
    * @return cancels the wait
    */
-  Runnable admit(
-      CallContext context,
-      Fingerprint fingerprint,
-      long deadlineNanos,
-      Consumer<Either<Failure, Slot>> then) {
-    Pending pending = new Pending(context, fingerprint, deadlineNanos, then);
+  Cancellable admit(
+      CallContext context, Fingerprint fingerprint, long deadlineNanos, Applicant call) {
+    Pending pending = new Pending(context, fingerprint, deadlineNanos, call);
     pending.tryRun();
-    return pending::cancel;
+    return pending;
   }
 
   /** Does what time brings; to be called every few milliseconds. */
@@ -81,6 +76,9 @@
 
   /** Tries again the parked calls whose turn may have come. */
   void wakeParked() {
+    if (parked.isEmpty()) {
+      return;
+    }
     for (Pending pending : List.copyOf(parked)) {
       if (parked.remove(pending)) {
         pending.tryRun();
@@ -88,19 +86,24 @@
     }
   }
 
-  private final class Pending implements AdmissionWaiter {
+  /** A call that asks for admission. */
+  interface Applicant {
+    /** The call may run; the slot must be released when it has ended. */
+    void admitted(Slot slot);
+
+    /** The call may not run. */
+    void refused(Failure failure);
+  }
+
+  private final class Pending implements AdmissionWaiter, Cancellable {
     private final CallContext context;
     private final Fingerprint fingerprint;
     private final long deadlineNanos;
-    private final Consumer<Either<Failure, Slot>> then;
+    private final Applicant call;
     private AdmissionTicket ticket;
 
-    Pending(
-        CallContext context,
-        Fingerprint fingerprint,
-        long deadlineNanos,
-        Consumer<Either<Failure, Slot>> then) {
-      this.then = then;
+    Pending(CallContext context, Fingerprint fingerprint, long deadlineNanos, Applicant call) {
+      this.call = call;
       this.context = context;
       this.fingerprint = fingerprint;
       this.deadlineNanos = deadlineNanos;
@@ -133,7 +136,7 @@
     public void start() {
       long now = ticker.nanos();
       if (fatal.begin(fingerprint, now) == Verdict.RUN) {
-        then.accept(Either.right(new Slot(ticket, fingerprint, now)));
+        call.admitted(new Slot(ticket, fingerprint, now));
       } else {
         controller.release(ticket, 0, CallOutcome.IGNORED, now);
         tryRun();
@@ -142,11 +145,14 @@
 
     @Override
     public void refuse(ResultCode code) {
-      then.accept(Either.left(Failure.of(code)));
+      call.refused(Failure.of(code));
     }
 
-    void cancel() {
-      parked.remove(this);
+    @Override
+    public void cancel() {
+      if (!parked.isEmpty()) {
+        parked.remove(this);
+      }
       if (ticket != null) {
         controller.cancel(ticket);
       }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateCall.java
@@ -6,15 +6,20 @@
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.node.http.Answer;
 import dev.arbutusroad.node.http.BodyEnd;
+import dev.arbutusroad.node.http.BodyListener;
+import dev.arbutusroad.node.http.ExchangeListener;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** One call at the gate, from its admission to the end of its answer. */
-final class GateCall {
+final class GateCall
+    implements ExchangeListener,
+        BodyListener,
+        HopCaller,
+        GateAdmission.Applicant,
+        Consumer<RequestBody> {
   /** Longer than it takes to conclude from broken connections whether the target has died. */
   private static final long DEATH_EVIDENCE_NANOS =
       FatalRequests.GRACE_NANOS + TimeUnit.MILLISECONDS.toNanos(10);
@@ -26,8 +31,10 @@
   private RequestBody body;
   private GateAdmission.Slot slot;
   private InboundCall inboundCall;
-  private Consumer<Answer> reply;
-  private Runnable cancelStep = () -> {};
+  private LocalTarget target;
+  private long remainingNanos;
+  private Optional<Consumer<Answer>> claimedReply = Optional.empty();
+  private Cancellable step = Cancellable.NOTHING;
 
   GateCall(Gate gate, ReceivedCall call, CallContext context) {
     this.gate = gate;
@@ -35,17 +42,17 @@
     this.context = context;
     deadlineNanos =
         gate.ticker().nanos() + TimeUnit.MILLISECONDS.toNanos(context.remainingMillis());
-    reply = answer -> call.exchange().answer(answer);
   }
 
   void start() {
-    call.exchange().whenEnded(this::ended);
-    RequestBody.read(call.exchange(), this::admit);
+    call.exchange().whenEnded(this);
+    RequestBody.read(call.exchange(), this);
   }
 
-  private void ended(boolean complete) {
+  @Override
+  public void exchangeEnded(boolean complete) {
     if (!complete) {
-      cancelStep.run();
+      step.cancel();
     }
     if (inboundCall != null) {
       gate.inbound().end(inboundCall);
@@ -55,22 +62,25 @@
     }
   }
 
-  private void admit(RequestBody read) {
+  /** Takes the body of the request: the call may run. */
+  @Override
+  public void accept(RequestBody read) {
     body = read;
-    Runnable cancelWait =
-        gate.admission().admit(context, call.fingerprint(body), deadlineNanos, this::decided);
+    Cancellable wait = gate.admission().admit(context, call.fingerprint(body), deadlineNanos, this);
     if (slot == null) {
-      cancelStep = cancelWait;
+      step = wait;
     }
   }
 
-  private void decided(Either<Failure, GateAdmission.Slot> decision) {
-    if (decision.isLeft()) {
-      gate.refuse(call, context, decision.getLeft());
-      return;
-    }
-    slot = decision.get();
-    cancelStep = () -> {};
+  @Override
+  public void refused(Failure failure) {
+    gate.refuse(call, context, failure);
+  }
+
+  @Override
+  public void admitted(GateAdmission.Slot granted) {
+    slot = granted;
+    step = Cancellable.NOTHING;
     // What holds for the target is checked again, as the call may have waited.
     Optional<Failure> refusal = gate.refusal(call, context);
     if (call.exchange().isEnded()) {
@@ -96,7 +106,7 @@
             gate.hop()::execute,
             claimed -> {
               slot.resume();
-              reply = claimed;
+              claimedReply = Optional.of(claimed);
               run();
             },
             answer -> call.exchange().answer(answer));
@@ -108,50 +118,62 @@
       refuseAfterClaim(refusal.orElseThrow());
       return;
     }
-    Duration remaining = Duration.ofNanos(deadlineNanos - gate.ticker().nanos());
-    if (remaining.isNegative() || remaining.isZero()) {
+    remainingNanos = deadlineNanos - gate.ticker().nanos();
+    if (remainingNanos <= 0) {
       refuseAfterClaim(Failure.of(ResultCode.EXPIRED_IN_QUEUE));
       return;
     }
-    LocalTarget target = gate.target().orElseThrow();
+    target = gate.target().orElseThrow();
     inboundCall =
         gate.inbound()
             .begin(
                 context,
                 deadlineNanos,
                 gate.protocol().passesTokens() ? Optional.empty() : call.requestId());
-    cancelStep =
+    step =
         gate.hop()
             .send(
                 target.address(),
                 call.request(),
-                headers -> addTargetHeaders(headers, target, remaining),
                 body,
-                remaining,
+                remainingNanos,
                 ResultCode.TARGET_DIED,
-                this::ran);
+                this);
+  }
+
+  /** Answers the caller, by way of the claim if the call has one. */
+  private void reply(Answer answer) {
+    if (claimedReply.isPresent()) {
+      claimedReply.orElseThrow().accept(answer);
+    } else {
+      call.exchange().answer(answer);
+    }
   }
 
   private void refuseAfterClaim(Failure failure) {
     slot.abandoned();
     inboundCall = gate.inbound().begin(context, deadlineNanos, Optional.empty());
-    reply.accept(gate.failure(call, inboundCall, failure));
+    reply(gate.failure(call, inboundCall, failure));
   }
 
-  private void addTargetHeaders(HttpHeaders headers, LocalTarget target, Duration remaining) {
+  @Override
+  public void complete(HttpHeaders headers) {
     gate.protocol()
         .describe(
             new MessageHeaderFields(headers),
             new TargetCall(
                 target.instance(),
                 inboundCall.context().caller(),
-                remaining.toMillis(),
+                TimeUnit.NANOSECONDS.toMillis(remainingNanos),
                 inboundCall.token()));
-    call.orderKey().ifPresent(key -> headers.set(ArbutusHeaders.ORDER_KEY, key));
+    if (call.orderKey().isPresent()) {
+      headers.set(ArbutusHeaders.ORDER_KEY, call.orderKey().orElseThrow());
+    }
   }
 
-  private void ran(HopOutcome outcome) {
-    cancelStep = () -> {};
+  @Override
+  public void attemptEnded(HopOutcome outcome) {
+    step = Cancellable.NOTHING;
     if (outcome instanceof HopOutcome.Answered answered) {
       answered(answered.answer());
       return;
@@ -192,11 +214,13 @@
       return;
     }
     gate.pass(call, inboundCall, answer);
-    answer.body().whenEnded(this::answerEnded);
-    reply.accept(answer);
+    answer.body().whenEnded(this);
+    reply(answer);
   }
 
-  private void answerEnded(BodyEnd end) {
+  /** The answer of the target has ended. */
+  @Override
+  public void bodyEnded(BodyEnd end) {
     gate.inbound().end(inboundCall);
     if (end instanceof BodyEnd.Completed) {
       slot.completed();
@@ -233,7 +257,7 @@
 
   private void fail(Failure failure) {
     if (!call.exchange().isEnded()) {
-      reply.accept(gate.failure(call, inboundCall, failure));
+      reply(gate.failure(call, inboundCall, failure));
     }
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Hop.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Hop.java
@@ -5,6 +5,8 @@
 import dev.arbutusroad.node.http.Answer;
 import dev.arbutusroad.node.http.Attempt;
 import dev.arbutusroad.node.http.AttemptListener;
+import dev.arbutusroad.node.http.BodyEnd;
+import dev.arbutusroad.node.http.BodyListener;
 import dev.arbutusroad.node.http.EventLoopThread;
 import dev.arbutusroad.node.http.HttpConnections;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -14,10 +16,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
-import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
 
 /** Sends one attempt of a call to the next process and classifies how it ended. */
 final class Hop {
@@ -38,33 +39,33 @@
    * Sends the request.
    *
    * @param received the request as received, cleaned of hop-by-hop and system headers
-   * @param extra adds the headers of this attempt
-   * @param remaining time until the deadline; it covers the body of the answer as well
+   * @param remainingNanos time until the deadline; it covers the body of the answer as well
    * @param unknown the code of a failure after a byte may have reached the other side
-   * @param then takes the outcome; called once, unless the attempt is cancelled
+   * @param caller completes the head and takes the outcome
    * @return cancels the attempt
    */
-  Runnable send(
+  Cancellable send(
       InetSocketAddress address,
       HttpRequest received,
-      Consumer<HttpHeaders> extra,
       RequestBody body,
-      Duration remaining,
+      long remainingNanos,
       ResultCode unknown,
-      Consumer<HopOutcome> then) {
+      HopCaller caller) {
     HttpHeaders headers = received.headers().copy();
-    extra.accept(headers);
-    body.heldLength()
-        .ifPresent(length -> headers.set(HttpHeaderNames.CONTENT_LENGTH, Long.toString(length)));
+    caller.complete(headers);
+    OptionalLong length = body.heldLength();
+    if (length.isPresent()) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, Long.toString(length.getAsLong()));
+    }
     if (body.isStreamed() && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
     HttpRequest head =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, received.method(), received.uri(), headers);
-    Watch watch = new Watch(unknown, then);
-    watch.timer = thread.after(remaining.toNanos(), watch::expire);
+    Watch watch = new Watch(unknown, caller);
+    watch.timer = thread.after(remainingNanos, watch);
     watch.attempt = connections.send(address, head, body.forAttempt(), watch);
-    return watch::cancel;
+    return watch;
   }
 
   /** Runs a task after a pause. */
@@ -73,44 +74,52 @@
   }
 
   /** Ends an attempt at its deadline. */
-  private static final class Watch implements AttemptListener {
+  private static final class Watch implements AttemptListener, BodyListener, Cancellable, Runnable {
     private final ResultCode unknown;
-    private final Consumer<HopOutcome> then;
+    private final HopCaller caller;
     private Attempt attempt;
     private Future<?> timer;
     private boolean answered;
 
-    Watch(ResultCode unknown, Consumer<HopOutcome> then) {
+    Watch(ResultCode unknown, HopCaller caller) {
       this.unknown = unknown;
-      this.then = then;
+      this.caller = caller;
     }
 
     @Override
     public void answered(Answer answer) {
       answered = true;
-      answer.body().whenEnded(end -> timer.cancel(false));
-      then.accept(new HopOutcome.Answered(answer));
+      answer.body().whenEnded(this);
+      caller.attemptEnded(new HopOutcome.Answered(answer));
     }
 
     @Override
     public void failed(Throwable cause, boolean sent) {
       timer.cancel(false);
-      then.accept(
+      caller.attemptEnded(
           sent
               ? failure(unknown, "the connection failed: " + cause)
               : failure(ResultCode.TARGET_UNREACHABLE, "no connection: " + cause.getMessage()));
     }
 
-    void expire() {
+    @Override
+    public void bodyEnded(BodyEnd end) {
+      timer.cancel(false);
+    }
+
+    /** The deadline has passed. */
+    @Override
+    public void run() {
       if (answered) {
         attempt.expire(new TimeoutException("the answer was not complete at the deadline"));
       } else {
         attempt.cancel();
-        then.accept(failure(ResultCode.DEADLINE_EXCEEDED, "no answer before the deadline"));
+        caller.attemptEnded(failure(ResultCode.DEADLINE_EXCEEDED, "no answer before the deadline"));
       }
     }
 
-    void cancel() {
+    @Override
+    public void cancel() {
       timer.cancel(false);
       attempt.cancel();
     }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/HopByHopHeaders.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/HopByHopHeaders.java
@@ -1,28 +1,39 @@
 package dev.arbutusroad.node.datapath;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Removes the headers that apply to one connection only (RFC 9110, section 7.6.1). */
 final class HopByHopHeaders {
-  private static final List<String> NAMES =
-      List.of(
-          "connection",
-          "keep-alive",
-          "proxy-authenticate",
-          "proxy-authorization",
-          "proxy-connection",
-          "te",
-          "trailer",
-          "transfer-encoding",
-          "upgrade");
+  private static final AsciiString[] NAMES = {
+    AsciiString.cached("connection"),
+    AsciiString.cached("keep-alive"),
+    AsciiString.cached("proxy-authenticate"),
+    AsciiString.cached("proxy-authorization"),
+    AsciiString.cached("proxy-connection"),
+    AsciiString.cached("te"),
+    AsciiString.cached("trailer"),
+    AsciiString.cached("transfer-encoding"),
+    AsciiString.cached("upgrade")
+  };
 
   private HopByHopHeaders() {}
 
   static void remove(HttpHeaders headers) {
-    List<String> listed = new ArrayList<>(0);
-    for (String value : headers.getAll("connection")) {
+    if (headers.contains(HttpHeaderNames.CONNECTION)) {
+      removeListed(headers);
+    }
+    for (AsciiString name : NAMES) {
+      headers.remove(name);
+    }
+  }
+
+  private static void removeListed(HttpHeaders headers) {
+    List<String> listed = new ArrayList<>(2);
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
       for (String name : value.split(",", -1)) {
         if (!name.isBlank()) {
           listed.add(name.trim());
@@ -30,6 +41,5 @@
       }
     }
     listed.forEach(headers::remove);
-    NAMES.forEach(headers::remove);
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/InboundCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/InboundCall.java
@@ -56,8 +56,10 @@
   /** Notes the level that a call made on behalf of this one met. */
   void noteLevel(AdmissionLevel seen) {
     level = level.max(seen);
-    upstream.ifPresent(
-        call -> call.noteLevel(seen.lowered(context.importance() - call.context().importance())));
+    if (upstream.isPresent()) {
+      InboundCall call = upstream.orElseThrow();
+      call.noteLevel(seen.lowered(context.importance() - call.context().importance()));
+    }
   }
 
   /** The strictest level that the calls made on behalf of this one met. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/InboundCalls.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/InboundCalls.java
@@ -25,14 +25,16 @@
    * @param id the id that the target names in its own calls; empty if it copies a token
    */
   InboundCall begin(CallContext context, long deadlineNanos, Optional<String> id) {
-    String token =
-        id.orElseGet(
-            () -> Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong()));
+    String token = id.isPresent() ? id.orElseThrow() : newToken();
     InboundCall call = new InboundCall(token, context, deadlineNanos);
     byToken.put(token, call);
     return call;
   }
 
+  private String newToken() {
+    return Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+  }
+
   Optional<InboundCall> find(String token) {
     return Optional.ofNullable(byToken.get(token));
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
@@ -19,12 +19,12 @@
   private final long receivedNanos;
   private final long deadlineNanos;
   private final RequestBody body;
-  private final Fingerprint fingerprint;
+  private Fingerprint fingerprint;
   private final Set<String> tried = new HashSet<>(2);
   private int attempts;
   private int reroutes;
   private boolean reached;
-  private Runnable cancelAttempt = () -> {};
+  private Cancellable attempt = Cancellable.NOTHING;
   private Optional<Failure> lastFailure = Optional.empty();
 
   /**
@@ -48,7 +48,6 @@
     this.receivedNanos = receivedNanos;
     this.deadlineNanos = deadlineNanos;
     this.body = body;
-    this.fingerprint = received.fingerprint(body);
   }
 
   ReceivedCall received() {
@@ -75,7 +74,11 @@
     return body;
   }
 
+  /** What identifies the request if it crashes targets; computed when it is first asked for. */
   Fingerprint fingerprint() {
+    if (fingerprint == null) {
+      fingerprint = received.fingerprint(body);
+    }
     return fingerprint;
   }
 
@@ -117,13 +120,13 @@
   }
 
   /** Sets how the attempt in progress is cancelled. */
-  void onCancel(Runnable cancel) {
-    cancelAttempt = cancel;
+  void onCancel(Cancellable inProgress) {
+    attempt = inProgress;
   }
 
   /** Cancels the attempt in progress; has no effect if it has ended. */
   void cancel() {
-    cancelAttempt.run();
+    attempt.cancel();
   }
 
   void rerouted() {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -7,7 +7,6 @@
 import dev.arbutusroad.core.admission.ProbingLimit;
 import dev.arbutusroad.core.fatal.FatalEntry;
 import dev.arbutusroad.core.fatal.FatalRequests;
-import dev.arbutusroad.core.fatal.Fingerprint;
 import dev.arbutusroad.core.membership.Member;
 import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.result.Failure;
@@ -24,6 +23,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -70,18 +70,22 @@
   }
 
   /** Why a call must not be sent at all; empty if it may be. */
-  Optional<Failure> refusal(
-      String service, CallContext template, Fingerprint fingerprint, InboundCall parent) {
+  Optional<Failure> refusal(OutgoingCall call) {
     long now = ticker.nanos();
-    if (fatal.check(fingerprint, now) == FatalRequests.Verdict.REFUSE) {
+    if (!fatal.isClear() && fatal.check(call.fingerprint(), now) == FatalRequests.Verdict.REFUSE) {
       return Optional.of(Failure.of(ResultCode.FATAL_REQUEST));
     }
-    AdmissionLevel level = level(service, template.kind(), now);
+    String service = call.received().service();
+    AdmissionLevel level = level(service, call.policy().kind(), now);
+    if (level.rank() == 0) {
+      return Optional.empty();
+    }
+    CallContext template = call.context(0, 0);
     if (level.admits(template.importance(), template.originId())) {
       return Optional.empty();
     }
     shedAtExit++;
-    parent.noteLevel(level);
+    call.parent().noteLevel(level);
     return Optional.of(
         new Failure(ResultCode.SHED, "refused by level " + level.format() + " of " + service));
   }
@@ -92,15 +96,23 @@
   }
 
   /** Whether a request is known or suspected of crashing its targets. */
-  boolean isSuspect(Fingerprint fingerprint) {
-    return fatal.isImplicated(fingerprint, ticker.nanos());
+  boolean isSuspect(OutgoingCall call) {
+    return !fatal.isClear() && fatal.isImplicated(call.fingerprint(), ticker.nanos());
+  }
+
+  /** Which targets are likely to take a call, as far as their answers tell. */
+  Predicate<Member> preference(CallContext context) {
+    return levels.isEmpty() ? any -> true : new AdmittingTarget(levels, context, ticker.nanos());
   }
 
-  /** Whether a target is likely to take a call, as far as its answers tell. */
-  boolean admits(Member member, CallContext context) {
-    return levels
-        .level(member.id(), context.kind(), ticker.nanos())
-        .admits(context.importance(), context.originId());
+  private record AdmittingTarget(LevelTable levels, CallContext context, long nowNanos)
+      implements Predicate<Member> {
+    @Override
+    public boolean test(Member member) {
+      return levels
+          .level(member.id(), context.kind(), nowNanos)
+          .admits(context.importance(), context.originId());
+    }
   }
 
   /** Takes in the level that a response carried. */
@@ -113,6 +125,9 @@
 
   /** The level below which all targets of a service refuse calls. */
   private AdmissionLevel level(String service, String kind, long nowNanos) {
+    if (levels.isEmpty()) {
+      return AdmissionLevel.OPEN;
+    }
     List<String> targets = members.get().serving(service).stream().map(Member::id).toList();
     return levels.lowest(targets, kind, nowNanos);
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -45,7 +46,8 @@
     String service = service(headers);
     Labels labels = labels(headers);
     CallerTerms terms = protocol.terms(new MessageHeaderFields(headers));
-    Optional<String> token = ArbutusHeaders.text(headers, ArbutusHeaders.CALL).or(terms::parentId);
+    Optional<String> ownToken = ArbutusHeaders.text(headers, ArbutusHeaders.CALL);
+    Optional<String> token = ownToken.isPresent() ? ownToken : terms.parentId();
     Optional<String> context = ArbutusHeaders.text(headers, ArbutusHeaders.CONTEXT);
     ArbutusHeaders.removeAll(headers);
     HopByHopHeaders.remove(headers);
@@ -111,8 +113,14 @@
 
   /** Puts back the labels and the order key, for the next node. */
   void passOn(HttpHeaders headers) {
-    labels.asMap().forEach((name, value) -> headers.set(ArbutusHeaders.LABEL_PREFIX + name, value));
-    orderKey.ifPresent(key -> headers.set(ArbutusHeaders.ORDER_KEY, key));
+    if (!labels.isEmpty()) {
+      labels
+          .asMap()
+          .forEach((name, value) -> headers.set(ArbutusHeaders.LABEL_PREFIX + name, value));
+    }
+    if (orderKey.isPresent()) {
+      headers.set(ArbutusHeaders.ORDER_KEY, orderKey.orElseThrow());
+    }
     headers.set(ArbutusHeaders.SERVICE, service);
   }
 
@@ -133,13 +141,18 @@
   }
 
   private static Labels labels(HttpHeaders headers) {
-    SortedMap<String, String> found = new TreeMap<>();
-    for (Map.Entry<String, String> header : headers) {
-      if (found.size() < MAX_LABELS && header.getValue().length() <= MAX_LABEL_LENGTH) {
-        ArbutusHeaders.labelName(header.getKey())
-            .ifPresent(name -> found.put(name, header.getValue()));
+    SortedMap<String, String> found = null;
+    for (Iterator<Map.Entry<CharSequence, CharSequence>> all = headers.iteratorCharSequence();
+        all.hasNext(); ) {
+      Map.Entry<CharSequence, CharSequence> header = all.next();
+      boolean fits = header.getValue().length() <= MAX_LABEL_LENGTH;
+      if (fits && ArbutusHeaders.isLabel(header.getKey())) {
+        found = found == null ? new TreeMap<>() : found;
+        if (found.size() < MAX_LABELS) {
+          found.put(ArbutusHeaders.labelName(header.getKey()), header.getValue().toString());
+        }
       }
     }
-    return Labels.of(found);
+    return found == null ? Labels.empty() : Labels.of(found);
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Settlement.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Settlement.java
@@ -6,10 +6,11 @@
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.node.http.Answer;
 import dev.arbutusroad.node.http.BodyEnd;
+import dev.arbutusroad.node.http.BodyListener;
 import java.util.concurrent.TimeoutException;
 
 /** Tells the target table once how an attempt ended. */
-final class Settlement {
+final class Settlement implements BodyListener {
   private static final int SERVER_ERROR = 500;
 
   private final TargetTable targets;
@@ -36,10 +37,11 @@
   void track(Answer answer) {
     latencyNanos = ticker.nanos() - startedNanos;
     serverError = answer.status() >= SERVER_ERROR;
-    answer.body().whenEnded(this::ended);
+    answer.body().whenEnded(this);
   }
 
-  private void ended(BodyEnd end) {
+  @Override
+  public void bodyEnded(BodyEnd end) {
     if (end instanceof BodyEnd.Completed) {
       completed();
     } else if (end instanceof BodyEnd.Failed broken
--- a/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
@@ -1,19 +1,18 @@
 package dev.arbutusroad.node.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 
 /**
  * One request on its way to another process, from the wait for a connection to the answer's end.
  */
-public final class Attempt {
+public final class Attempt implements BodySink {
   private final HttpRequest head;
   private final Body requestBody;
   private final AttemptListener listener;
   private ClientConnection connection;
+  private MessageWriter writer;
   private Body answerBody;
   private boolean requestWritten;
   private boolean closed;
@@ -64,8 +63,8 @@
   /** Sends the request. */
   void start(ClientConnection opened) {
     connection = opened;
-    connection.write(head);
-    requestBody.consume(new RequestSink());
+    writer = connection.writer(head);
+    requestBody.consume(this);
     requestBody.setReady(connection.isWritable());
   }
 
@@ -125,28 +124,27 @@
     }
   }
 
-  private final class RequestSink implements BodySink {
-    @Override
-    public void part(ByteBuf part) {
-      connection.write(new DefaultHttpContent(part));
-    }
+  @Override
+  public void part(ByteBuf part) {
+    writer.part(part);
+  }
 
-    @Override
-    public void flush() {
-      connection.flush();
-    }
+  @Override
+  public void flush() {
+    writer.flush();
+  }
 
-    @Override
-    public void completed() {
-      requestWritten = true;
-      connection.write(LastHttpContent.EMPTY_LAST_CONTENT);
-      connection.flush();
-    }
+  @Override
+  public void completed() {
+    requestWritten = true;
+    connection.end(writer);
+  }
 
-    @Override
-    public void failed(Throwable cause) {
-      connection.close();
-      broken(new IOException("the request broke off: " + cause.getMessage(), cause));
-    }
+  /** The request broke off at its source, so the rest of it can't be sent. */
+  @Override
+  public void failed(Throwable cause) {
+    writer.discard();
+    connection.close();
+    broken(new IOException("the request broke off: " + cause.getMessage(), cause));
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/http/Body.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Body.java
@@ -29,7 +29,7 @@
 
   private final BodySource source;
   private final Deque<ByteBuf> waiting = new ArrayDeque<>(2);
-  private final List<Consumer<BodyEnd>> listeners = new ArrayList<>(4);
+  private final List<BodyListener> listeners = new ArrayList<>(4);
   private Consumer<ByteBuf> tap = part -> {};
   private int waitingBytes;
   private BodySink sink;
@@ -159,11 +159,11 @@
   }
 
   /** Tells a listener once how the body ended, just before the sink is told. */
-  public void whenEnded(Consumer<BodyEnd> listener) {
+  public void whenEnded(BodyListener listener) {
     if (end == null) {
       listeners.add(listener);
     } else {
-      listener.accept(end);
+      listener.bodyEnded(end);
     }
   }
 
@@ -201,11 +201,14 @@
 
   private void finish(BodyEnd how) {
     end = how;
-    waiting.forEach(ByteBuf::release);
-    waiting.clear();
+    for (ByteBuf part = waiting.poll(); part != null; part = waiting.poll()) {
+      part.release();
+    }
     waitingBytes = 0;
     pace();
-    listeners.forEach(listener -> listener.accept(how));
+    for (BodyListener listener : listeners) {
+      listener.bodyEnded(how);
+    }
     listeners.clear();
   }
 }
--- a/node/src/main/java/dev/arbutusroad/node/http/ClientConnection.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -34,12 +35,14 @@
     attempt.start(this);
   }
 
-  void write(Object message) {
-    ChannelCalls.write(channel, message);
+  /** A writer for the request. */
+  MessageWriter writer(HttpRequest head) {
+    return new MessageWriter(channel, head);
   }
 
-  void flush() {
-    channel.flush();
+  /** Ends the request. */
+  void end(MessageWriter writer) {
+    var unused = writer.end();
   }
 
   boolean isWritable() {
--- a/node/src/main/java/dev/arbutusroad/node/http/ConnectionPool.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ConnectionPool.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -16,7 +14,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import jdk.net.ExtendedSocketOptions;
 
 /** The connections to one address; the one used last is used next, so that surplus ones age. */
 final class ConnectionPool {
@@ -62,15 +59,16 @@
   }
 
   private void connect(Attempt attempt) {
-    new Bootstrap()
-        .group(thread.loop())
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
-        .option(ChannelOption.SO_KEEPALIVE, true)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_SECONDS)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(thread.loop())
+            .channel(thread.transport().connections())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
+    thread
+        .transport()
+        .probeIdle(bootstrap, PROBE_IDLE_SECONDS, PROBE_INTERVAL_SECONDS, PROBE_COUNT);
+    bootstrap
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
--- a/node/src/main/java/dev/arbutusroad/node/http/EventLoopThread.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/EventLoopThread.java
@@ -1,7 +1,7 @@
 package dev.arbutusroad.node.http;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
@@ -13,8 +13,9 @@
 public final class EventLoopThread implements AutoCloseable {
   private static final long STOP_LIMIT_MILLIS = 1_000;
 
-  private final NioEventLoopGroup group =
-      new NioEventLoopGroup(1, new DefaultThreadFactory("data-path", true));
+  private final Transport transport = Transport.preferred();
+  private final EventLoopGroup group =
+      transport.eventLoops(new DefaultThreadFactory("data-path", true));
   private final EventLoop loop = group.next();
 
   /** Starts the thread. */
@@ -24,6 +25,11 @@
 
   private EventLoopThread() {}
 
+  /** The kind of channels that run on the thread. */
+  Transport transport() {
+    return transport;
+  }
+
   /** Runs tasks and timers on the thread. */
   public EventLoop loop() {
     return loop;
@@ -43,16 +49,19 @@
 
   /** Runs a task on the thread after a delay; a failure of the task is logged. */
   public ScheduledFuture<?> after(long delayNanos, Runnable task) {
-    return loop.schedule(
-        () -> {
-          try {
-            task.run();
-          } catch (RuntimeException e) {
-            Logger.error(e, "event=timer_failed");
-          }
-        },
-        delayNanos,
-        TimeUnit.NANOSECONDS);
+    return loop.schedule(new LoggedTask(task), delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** A failed task would otherwise go unnoticed in its future. */
+  private record LoggedTask(Runnable task) implements Runnable {
+    @Override
+    public void run() {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        Logger.error(e, "event=timer_failed");
+      }
+    }
   }
 
   /** Runs a task on the thread and waits for its result. */
--- a/node/src/main/java/dev/arbutusroad/node/http/Exchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/Exchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 
 /** One request that was received, and the way to answer it. Belongs to one event loop. */
 public interface Exchange {
@@ -21,10 +20,6 @@
   /** Whether the caller has gone or the answer has ended. */
   boolean isEnded();
 
-  /**
-   * Tells a listener once how the exchange ended.
-   *
-   * @param listener told whether the whole answer was written
-   */
-  void whenEnded(Consumer<Boolean> listener);
+  /** Tells a listener once how the exchange ended. */
+  void whenEnded(ExchangeListener listener);
 }
--- a/node/src/main/java/dev/arbutusroad/node/http/HttpListener.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/HttpListener.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -43,7 +41,7 @@
     ChannelFuture bound =
         new ServerBootstrap()
             .group(thread.loop())
-            .channel(NioServerSocketChannel.class)
+            .channel(thread.transport().listeners())
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -69,9 +67,8 @@
     connections.add(connection);
     accepted
         .pipeline()
-        .addLast(
-            new HttpServerCodec(
-                HttpLimits.MAX_LINE_BYTES, HttpLimits.MAX_HEADER_BYTES, HttpLimits.CHUNK_BYTES))
+        .addLast(new RequestDecoder())
+        .addLast(new ResponseEncoder(connection::isAnswerBodyless))
         .addLast(connection);
   }
 
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/http/RequestDecoder.java
@@ -0,0 +1,24 @@
+package dev.arbutusroad.node.http;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests and refuses those whose framing is in doubt: a request that states both a length
+ * and a transfer encoding ends elsewhere for another reader (RFC 9112, section 6.3).
+ */
+final class RequestDecoder extends HttpRequestDecoder {
+  RequestDecoder() {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(HttpLimits.MAX_LINE_BYTES)
+            .setMaxHeaderSize(HttpLimits.MAX_HEADER_BYTES)
+            .setMaxChunkSize(HttpLimits.CHUNK_BYTES));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("a request has a length and a transfer encoding");
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/http/ServerConnection.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ServerConnection.java
@@ -50,6 +50,11 @@
     }
   }
 
+  /** Whether the answer to the request in progress has no body. */
+  boolean isAnswerBodyless() {
+    return current != null && current.isBodyless();
+  }
+
   boolean isDraining() {
     return draining;
   }
--- a/node/src/main/java/dev/arbutusroad/node/http/ServerExchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/http/ServerExchange.java
@@ -4,8 +4,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -15,14 +15,12 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 
 /** A request on a caller's connection. */
-final class ServerExchange implements Exchange, BodySource, BodySink {
+final class ServerExchange implements Exchange, BodySource, BodySink, ChannelFutureListener {
   private final ServerConnection connection;
   private final Channel channel;
   private final HttpRequest request;
@@ -30,7 +28,7 @@
   private final Body body;
   private final boolean keepAlive;
   private final boolean http10;
-  private final List<Consumer<Boolean>> listeners = new ArrayList<>(4);
+  private final List<ExchangeListener> listeners = new ArrayList<>(4);
   private boolean continueExpected;
   private boolean received;
   private boolean discarding;
@@ -38,6 +36,7 @@
   private boolean written;
   private boolean closeAfter;
   private Answer answer;
+  private MessageWriter writer;
 
   ServerExchange(ServerConnection connection, HttpRequest request) {
     this.connection = connection;
@@ -101,6 +100,11 @@
     return received;
   }
 
+  /** Whether an answer to this request has no body, whatever its head says. */
+  boolean isBodyless() {
+    return request.method().equals(HttpMethod.HEAD);
+  }
+
   /** Whether the caller has said that it sends no other request on this connection. */
   boolean isLastOfConnection() {
     return !keepAlive;
@@ -114,7 +118,7 @@
     }
     answer = given;
     frame(given.head());
-    ChannelCalls.write(channel, given.head());
+    writer = new MessageWriter(channel, given.head());
     given.body().consume(this);
     given.body().setReady(channel.isWritable());
   }
@@ -162,18 +166,17 @@
 
   @Override
   public void part(ByteBuf part) {
-    ChannelCalls.write(channel, new DefaultHttpContent(part));
+    writer.part(part);
   }
 
   @Override
   public void flush() {
-    channel.flush();
+    writer.flush();
   }
 
   @Override
   public void completed() {
-    ChannelFuture end = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    var unused = end.addListener(write -> written(write.isSuccess()));
+    var unused = writer.end().addListener(this);
   }
 
   /**
@@ -181,11 +184,14 @@
    */
   @Override
   public void failed(Throwable cause) {
+    writer.discard();
     ChannelCalls.close(channel);
   }
 
-  private void written(boolean success) {
-    if (!success) {
+  /** The last byte of the answer was written, or could not be. */
+  @Override
+  public void operationComplete(ChannelFuture end) {
+    if (!end.isSuccess()) {
       ChannelCalls.close(channel);
       return;
     }
@@ -210,6 +216,7 @@
     body.fail(cause);
     if (answer != null) {
       answer.body().cancel();
+      writer.discard();
     }
     end(false);
   }
@@ -217,7 +224,9 @@
   private void end(boolean complete) {
     if (!ended) {
       ended = true;
-      listeners.forEach(listener -> listener.accept(complete));
+      for (ExchangeListener listener : listeners) {
+        listener.exchangeEnded(complete);
+      }
       listeners.clear();
     }
   }
@@ -228,9 +237,9 @@
   }
 
   @Override
-  public void whenEnded(Consumer<Boolean> listener) {
+  public void whenEnded(ExchangeListener listener) {
     if (ended) {
-      listener.accept(written);
+      listener.exchangeEnded(written);
     } else {
       listeners.add(listener);
     }
