--- a/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/NodeCommand.java
@@ -5,7 +5,6 @@
 import dev.arbutusroad.core.settings.NodeSettings;
 import dev.arbutusroad.node.process.NodeProcess;
 import dev.arbutusroad.platform.PlatformDeployment;
-import io.servicetalk.concurrent.api.AsyncContext;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -29,6 +28,10 @@
   @Override
   public int run(List<String> args, PrintStream out, PrintStream err) {
     Options options = new Options();
+    if (args.isEmpty()) {
+      // Reading the annotations of the options takes a tenth of a node's start.
+      return start(options.settings, err);
+    }
     return CommandLine.parse(this, options, args, out, err)
         .orElseGet(() -> start(options.settings, err));
   }
@@ -36,8 +39,6 @@
   private static int start(String file, PrintStream err) {
     // The log of a node is its standard output; commands print their results there instead.
     System.setProperty("tinylog.writer.stream", "out");
-    // The node passes no values through the library's context; carrying it costs time in each step.
-    AsyncContext.disable();
     if (file == null) {
       return CommandLine.badUsage(err, "--settings is missing");
     }
--- a/cli/src/main/java/dev/arbutusroad/cli/StoreOptions.java
+++ b/cli/src/main/java/dev/arbutusroad/cli/StoreOptions.java
@@ -2,14 +2,12 @@
 
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.result.Failure;
-import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.store.ConfigurationStore;
 import dev.arbutusroad.core.store.PlatformClientSettings;
 import dev.arbutusroad.core.store.PlatformMetrics;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.platform.PlatformClient;
 import io.vavr.control.Either;
-import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -42,9 +40,6 @@
           err,
           work.apply(
               new ConfigurationStore(client, client.objects(), RandomGenerator.getDefault())));
-    } catch (IOException e) {
-      err.println(new Failure(ResultCode.PLATFORM_REFUSED, "closing failed: " + e.getMessage()));
-      return Command.FAILED;
     }
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/http/Answer.java
+++ b/http/src/main/java/dev/arbutusroad/http/Answer.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpResponse;
--- a/node/src/main/java/dev/arbutusroad/node/http/Attempt.java
+++ b/http/src/main/java/dev/arbutusroad/http/Attempt.java
@@ -1,6 +1,7 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import java.io.IOException;
 
@@ -79,6 +80,11 @@
     return requestWritten;
   }
 
+  /** Whether the answer has no body, whatever its head says. */
+  boolean isAnswerBodyless() {
+    return head.method().equals(HttpMethod.HEAD);
+  }
+
   boolean isAnswered() {
     return answerBody != null;
   }
--- a/node/src/main/java/dev/arbutusroad/node/http/AttemptListener.java
+++ b/http/src/main/java/dev/arbutusroad/http/AttemptListener.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 /**
  * Told how one attempt went: exactly one method is called, once, unless the attempt is cancelled.
--- a/node/src/main/java/dev/arbutusroad/node/http/BodyEnd.java
+++ b/http/src/main/java/dev/arbutusroad/http/BodyEnd.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 /** How a body ended. */
 public sealed interface BodyEnd {
--- a/node/src/main/java/dev/arbutusroad/node/http/BodySource.java
+++ b/http/src/main/java/dev/arbutusroad/http/BodySource.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 /** Where the parts of a body come from. */
 public interface BodySource {
--- a/node/src/main/java/dev/arbutusroad/node/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -49,6 +49,11 @@
     return channel.isWritable();
   }
 
+  /** Whether the answer to the request in progress has no body. */
+  boolean isAnswerBodyless() {
+    return current != null && current.isAnswerBodyless();
+  }
+
   /** Whether another request may be sent now. */
   boolean isUsable(long nowNanos) {
     return channel.isActive() && nowNanos - idleSinceNanos < idleLimitNanos;
--- a/node/src/main/java/dev/arbutusroad/node/http/ConnectionPool.java
+++ b/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import dev.arbutusroad.core.time.Ticker;
 import io.netty.bootstrap.Bootstrap;
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -76,11 +76,8 @@
                 ClientConnection connection = new ClientConnection(channel, ConnectionPool.this);
                 channel
                     .pipeline()
-                    .addLast(
-                        new HttpClientCodec(
-                            HttpLimits.MAX_LINE_BYTES,
-                            HttpLimits.MAX_HEADER_BYTES,
-                            HttpLimits.CHUNK_BYTES))
+                    .addLast(new ResponseDecoder(connection::isAnswerBodyless))
+                    .addLast(new HttpRequestEncoder())
                     .addLast(connection);
               }
             })
--- a/node/src/main/java/dev/arbutusroad/node/http/EpollTransport.java
+++ b/http/src/main/java/dev/arbutusroad/http/EpollTransport.java
@@ -1,13 +1,15 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.epoll.EpollEventLoopGroup;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.util.concurrent.ThreadFactory;
 
@@ -23,6 +25,11 @@
     return EpollServerSocketChannel.class;
   }
 
+  @Override
+  public Class<? extends DatagramChannel> datagrams() {
+    return EpollDatagramChannel.class;
+  }
+
   @Override
   public Class<? extends SocketChannel> connections() {
     return EpollSocketChannel.class;
--- a/node/src/main/java/dev/arbutusroad/node/http/EventLoopThread.java
+++ b/http/src/main/java/dev/arbutusroad/http/EventLoopThread.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -9,21 +9,23 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
-/** The thread that owns the state of the data path and all its connections. */
+/** A thread that owns connections and the state of those who use them. */
 public final class EventLoopThread implements AutoCloseable {
   private static final long STOP_LIMIT_MILLIS = 1_000;
 
   private final Transport transport = Transport.preferred();
-  private final EventLoopGroup group =
-      transport.eventLoops(new DefaultThreadFactory("data-path", true));
-  private final EventLoop loop = group.next();
+  private final EventLoopGroup group;
+  private final EventLoop loop;
 
-  /** Starts the thread. */
-  public static EventLoopThread start() {
-    return new EventLoopThread();
+  /** Starts a thread of this name. */
+  public static EventLoopThread start(String name) {
+    return new EventLoopThread(name);
   }
 
-  private EventLoopThread() {}
+  private EventLoopThread(String name) {
+    group = transport.eventLoops(new DefaultThreadFactory(name, true));
+    loop = group.next();
+  }
 
   /** The kind of channels that run on the thread. */
   Transport transport() {
@@ -43,7 +45,7 @@
   public void check() {
     if (!loop.inEventLoop()) {
       throw new IllegalStateException(
-          "the data path is used by thread " + Thread.currentThread().getName());
+          "the state of an event loop is used by thread " + Thread.currentThread().getName());
     }
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/http/ExchangeHandler.java
+++ b/http/src/main/java/dev/arbutusroad/http/ExchangeHandler.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 /** Answers requests; called on the event loop, must not block. */
 @FunctionalInterface
--- a/node/src/main/java/dev/arbutusroad/node/http/ExchangeListener.java
+++ b/http/src/main/java/dev/arbutusroad/http/ExchangeListener.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 /** Told once how an exchange ended. */
 @FunctionalInterface
--- a/node/src/main/java/dev/arbutusroad/node/http/HttpConnections.java
+++ b/http/src/main/java/dev/arbutusroad/http/HttpConnections.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import dev.arbutusroad.core.time.Ticker;
 import io.netty.handler.codec.http.HttpRequest;
--- a/node/src/main/java/dev/arbutusroad/node/http/KeepAlive.java
+++ b/http/src/main/java/dev/arbutusroad/http/KeepAlive.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Locale;
--- a/node/src/main/java/dev/arbutusroad/node/http/NioTransport.java
+++ b/http/src/main/java/dev/arbutusroad/http/NioTransport.java
@@ -1,12 +1,14 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.ThreadFactory;
@@ -24,6 +26,11 @@
     return NioServerSocketChannel.class;
   }
 
+  @Override
+  public Class<? extends DatagramChannel> datagrams() {
+    return NioDatagramChannel.class;
+  }
+
   @Override
   public Class<? extends SocketChannel> connections() {
     return NioSocketChannel.class;
--- a/node/src/main/java/dev/arbutusroad/node/http/RequestDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -10,11 +10,7 @@
  */
 final class RequestDecoder extends HttpRequestDecoder {
   RequestDecoder() {
-    super(
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(HttpLimits.MAX_LINE_BYTES)
-            .setMaxHeaderSize(HttpLimits.MAX_HEADER_BYTES)
-            .setMaxChunkSize(HttpLimits.CHUNK_BYTES));
+    super(HttpLimits.decoding(new HttpDecoderConfig()));
   }
 
   @Override
--- a/node/src/main/java/dev/arbutusroad/node/http/ServerConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/node/src/main/java/dev/arbutusroad/node/http/Transport.java
+++ b/http/src/main/java/dev/arbutusroad/http/Transport.java
@@ -1,13 +1,14 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.util.concurrent.ThreadFactory;
 
-/** How the data path does its network input and output. */
+/** How a node does its network input and output. */
 public interface Transport {
   /** Linux's epoll where its native library can be loaded, else the selector of the JDK. */
   static Transport preferred() {
@@ -20,6 +21,9 @@
   /** The channels of listeners. */
   Class<? extends ServerChannel> listeners();
 
+  /** The channels of datagrams. */
+  Class<? extends DatagramChannel> datagrams();
+
   /** The channels of connections to others. */
   Class<? extends SocketChannel> connections();
 
--- a/node/src/test/java/dev/arbutusroad/node/http/KeepAliveTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/KeepAliveTest.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/node/src/test/java/dev/arbutusroad/node/http/ServerConnectionTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
@@ -1,4 +1,4 @@
-package dev.arbutusroad.node.http;
+package dev.arbutusroad.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -24,7 +24,7 @@
 @Timeout(60)
 final class ServerConnectionTest {
   private final Closer closer = new Closer();
-  private final EventLoopThread thread = closer.register(EventLoopThread.start());
+  private final EventLoopThread thread = closer.register(EventLoopThread.start("data-path"));
 
   @AfterEach
   void close() throws IOException {
--- /dev/null
+++ b/node/src/main/java/dev/arbutusroad/node/admin/TextAnswers.java
@@ -0,0 +1,24 @@
+package dev.arbutusroad.node.admin;
+
+import dev.arbutusroad.http.Answer;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+
+/** Makes the answers of the listeners for operators. */
+final class TextAnswers {
+  static final String TEXT = "text/plain; charset=utf-8";
+
+  private TextAnswers() {}
+
+  static Answer of(HttpResponseStatus status, String type, byte[] body) {
+    Answer answer = Answer.of(status, Unpooled.wrappedBuffer(body));
+    answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    return answer;
+  }
+
+  static Answer text(HttpResponseStatus status, String text) {
+    return of(status, TEXT, text.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
@@ -1,9 +1,9 @@
 package dev.arbutusroad.node.datapath;
 
-import dev.arbutusroad.node.http.Answer;
-import dev.arbutusroad.node.http.Body;
-import dev.arbutusroad.node.http.Exchange;
-import dev.arbutusroad.node.http.ExchangeListener;
+import dev.arbutusroad.http.Answer;
+import dev.arbutusroad.http.Body;
+import dev.arbutusroad.http.Exchange;
+import dev.arbutusroad.http.ExchangeListener;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnswerRecorder.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnswerRecorder.java
@@ -1,9 +1,9 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.claim.RecordedAnswer;
+import dev.arbutusroad.http.Answer;
+import dev.arbutusroad.http.BodyEnd;
 import dev.arbutusroad.node.claim.ClaimHandle;
-import dev.arbutusroad.node.http.Answer;
-import dev.arbutusroad.node.http.BodyEnd;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Answers.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Answers.java
@@ -4,7 +4,7 @@
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.RunState;
 import dev.arbutusroad.core.retry.RetryAdvice;
-import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.http.Answer;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallTracker.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTracker.java
@@ -1,7 +1,7 @@
 package dev.arbutusroad.node.datapath;
 
-import dev.arbutusroad.node.http.Exchange;
-import dev.arbutusroad.node.http.ExchangeListener;
+import dev.arbutusroad.http.Exchange;
+import dev.arbutusroad.http.ExchangeListener;
 
 /** Counts calls from their first byte to the last byte of their answer, for a graceful stop. */
 final class CallTracker implements ExchangeListener {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ExitService.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ExitService.java
@@ -2,9 +2,9 @@
 
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
-import dev.arbutusroad.node.http.Answer;
-import dev.arbutusroad.node.http.Exchange;
-import dev.arbutusroad.node.http.ExchangeHandler;
+import dev.arbutusroad.http.Answer;
+import dev.arbutusroad.http.Exchange;
+import dev.arbutusroad.http.ExchangeHandler;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
@@ -6,7 +6,7 @@
 import dev.arbutusroad.core.result.Failure;
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.http.Answer;
 import java.util.Optional;
 
 /** Takes calls from other nodes and runs them on the local target. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/HopOutcome.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/HopOutcome.java
@@ -1,7 +1,7 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.result.Failure;
-import dev.arbutusroad.node.http.Answer;
+import dev.arbutusroad.http.Answer;
 
 /** How one attempt of a call ended, as far as the answer's head tells. */
 sealed interface HopOutcome {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
@@ -6,7 +6,7 @@
 import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.label.Labels;
 import dev.arbutusroad.core.route.Route;
-import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.http.Exchange;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/RequestBody.java
@@ -1,8 +1,8 @@
 package dev.arbutusroad.node.datapath;
 
-import dev.arbutusroad.node.http.Body;
-import dev.arbutusroad.node.http.BodySink;
-import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.http.Body;
+import dev.arbutusroad.http.BodySink;
+import dev.arbutusroad.http.Exchange;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.Arrays;
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Settlement.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Settlement.java
@@ -4,9 +4,9 @@
 import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.routing.TargetTable;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.node.http.Answer;
-import dev.arbutusroad.node.http.BodyEnd;
-import dev.arbutusroad.node.http.BodyListener;
+import dev.arbutusroad.http.Answer;
+import dev.arbutusroad.http.BodyEnd;
+import dev.arbutusroad.http.BodyListener;
 import java.util.concurrent.TimeoutException;
 
 /** Tells the target table once how an attempt ended. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/SmallBody.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/SmallBody.java
@@ -1,7 +1,7 @@
 package dev.arbutusroad.node.datapath;
 
-import dev.arbutusroad.node.http.BodySink;
-import dev.arbutusroad.node.http.Exchange;
+import dev.arbutusroad.http.BodySink;
+import dev.arbutusroad.http.Exchange;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import java.io.ByteArrayOutputStream;
--- a/node/src/main/java/dev/arbutusroad/node/membership/PeerTransport.java
+++ b/node/src/main/java/dev/arbutusroad/node/membership/PeerTransport.java
@@ -1,6 +1,7 @@
 package dev.arbutusroad.node.membership;
 
 import dev.arbutusroad.core.settings.SharedSecret;
+import dev.arbutusroad.http.Transport;
 import dev.arbutusroad.wire.Frame;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -9,17 +10,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
@@ -39,11 +37,12 @@
   private final String selfId;
   private final PeerEvents events;
   private final PeerTraffic traffic;
-  private final EventLoopGroup group =
-      new NioEventLoopGroup(1, new DefaultThreadFactory("peer", true));
+  private final Transport transport = Transport.preferred();
+  private final EventLoopGroup group = transport.eventLoops(new DefaultThreadFactory("peer", true));
   private final AtomicInteger acceptedConnections = new AtomicInteger();
   private final LogLimit logLimit = new LogLimit();
   private final Handshake handshake;
+  private final AtomicBoolean unsent = new AtomicBoolean();
   private Channel datagrams;
   private Channel acceptor;
 
@@ -85,10 +84,14 @@
     var unused =
         datagrams.write(
             new DatagramPacket(Unpooled.wrappedBuffer(datagram), to), datagrams.voidPromise());
+    unsent.set(true);
   }
 
+  /** Sends what was queued; without anything, the event loop is not woken. */
   void flush() {
-    datagrams.flush();
+    if (unsent.getAndSet(false)) {
+      datagrams.flush();
+    }
   }
 
   /** Connects, makes one request and sends what {@code followUp} makes of the response. */
@@ -97,7 +100,7 @@
     CompletableFuture<Frame> response = new CompletableFuture<>();
     new Bootstrap()
         .group(group)
-        .channel(NioSocketChannel.class)
+        .channel(transport.connections())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<SocketChannel>() {
@@ -132,7 +135,7 @@
   private ServerBootstrap acceptorBootstrap() {
     return new ServerBootstrap()
         .group(group)
-        .channel(NioServerSocketChannel.class)
+        .channel(transport.listeners())
         .option(ChannelOption.SO_REUSEADDR, true)
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
@@ -157,7 +160,7 @@
   private Bootstrap datagramBootstrap() {
     return new Bootstrap()
         .group(group)
-        .channel(NioDatagramChannel.class)
+        .channel(transport.datagrams())
         .handler(new GossipHandler(secret, events, traffic));
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -14,7 +14,9 @@
 import dev.arbutusroad.core.store.PlatformClientSettings;
 import dev.arbutusroad.core.store.PlatformServices;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.node.admin.AdminListener;
+import dev.arbutusroad.http.EventLoopThread;
+import dev.arbutusroad.http.ExchangeHandler;
+import dev.arbutusroad.http.HttpListener;
 import dev.arbutusroad.node.admin.AdminService;
 import dev.arbutusroad.node.admin.ReadinessService;
 import dev.arbutusroad.node.claim.ClaimsDuty;
@@ -27,9 +29,6 @@
 import dev.arbutusroad.node.datapath.DataPath;
 import dev.arbutusroad.node.datapath.DataPathOptions;
 import dev.arbutusroad.node.datapath.ExitService;
-import dev.arbutusroad.node.http.EventLoopThread;
-import dev.arbutusroad.node.http.ExchangeHandler;
-import dev.arbutusroad.node.http.HttpListener;
 import dev.arbutusroad.node.log.LineLog;
 import dev.arbutusroad.node.membership.MembershipDuty;
 import dev.arbutusroad.node.membership.MembershipMetrics;
@@ -74,7 +73,8 @@
   private final Ticker ticker = Ticker.system();
   private final PrometheusRegistry metrics = new PrometheusRegistry();
   private final LineLog log = closer.register(LineLog.start(System.out));
-  private final EventLoopThread eventLoop = closer.register(EventLoopThread.start());
+  private final EventLoopThread eventLoop = closer.register(EventLoopThread.start("data-path"));
+  private final EventLoopThread controlLoop = closer.register(EventLoopThread.start("control"));
   private final PlatformServices platform;
   private final MembershipDuty membership;
   private final ConfigurationDuty configuration;
@@ -117,9 +117,10 @@
     exit = HttpListener.start(eventLoop, settings.listeners().exit(), exitService);
     announcements = startAnnouncements();
     if (settings.listeners().readiness().isPresent()) {
-      closer.register(
-          AdminListener.start(
-              settings.listeners().readiness().orElseThrow(), new ReadinessService(this::isReady)));
+      HttpListener.start(
+          controlLoop,
+          settings.listeners().readiness().orElseThrow(),
+          new ReadinessService(this::isReady));
     }
     NodeView view =
         new NodeView(
@@ -128,8 +129,7 @@
             membership,
             () -> eventLoop.call(dataPath::state),
             claims);
-    closer.register(
-        AdminListener.start(settings.listeners().admin(), new AdminService(view, metrics)));
+    HttpListener.start(controlLoop, settings.listeners().admin(), new AdminService(view, metrics));
     dataPath.register(metrics);
     membership.addFingerprintListener(
         report ->
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
@@ -8,8 +8,8 @@
 import dev.arbutusroad.core.resource.Closer;
 import dev.arbutusroad.core.settings.Limits;
 import dev.arbutusroad.core.time.Ticker;
-import dev.arbutusroad.node.http.EventLoopThread;
-import dev.arbutusroad.node.http.HttpConnections;
+import dev.arbutusroad.http.EventLoopThread;
+import dev.arbutusroad.http.HttpConnections;
 import dev.arbutusroad.platform.PlatformCallProtocol;
 import java.io.IOException;
 import java.util.Optional;
@@ -23,7 +23,7 @@
 @Timeout(60)
 final class TargetSearchTest {
   private final Closer closer = new Closer();
-  private final EventLoopThread thread = closer.register(EventLoopThread.start());
+  private final EventLoopThread thread = closer.register(EventLoopThread.start("data-path"));
   private final TargetLease lease = new TargetLease(4_500);
   private final CountDownLatch serving = new CountDownLatch(1);
 
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TwoNodes.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TwoNodes.java
@@ -9,10 +9,10 @@
 import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.time.Ticker;
+import dev.arbutusroad.http.EventLoopThread;
+import dev.arbutusroad.http.HttpListener;
 import dev.arbutusroad.node.claim.Claims;
 import dev.arbutusroad.node.claim.NoClaims;
-import dev.arbutusroad.node.http.EventLoopThread;
-import dev.arbutusroad.node.http.HttpListener;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -26,7 +26,7 @@
   private static final InetSocketAddress ANY = Addresses.of("127.0.0.1", 0);
   static final String SECRET = "a secret for tests only";
 
-  private final EventLoopThread thread = EventLoopThread.start();
+  private final EventLoopThread thread = EventLoopThread.start("data-path");
   private final List<HttpListener> listeners = new ArrayList<>();
   private final List<DataPath> paths = new ArrayList<>();
   private final List<Member> members = new ArrayList<>();
