Count the wait of pipelined requests; notice callers that go meanwhile

A request that waits behind another got its whole time limit from the moment it was taken up, so a target was handed more time than its caller had left. While a request waited, nothing was read, so with the selector of the JDK a caller that went was not noticed until the answer was written. Both found by reading.

Changes: an exchange tells how long it has waited behind others, and the time limit of its call is shorter by that. Reading goes on until eight heads and parts wait; whether to read follows from the request in progress and those that wait, in one place. Before, taking up a waiting request could undo the pause of its body.

--- a/http/src/main/java/dev/arbutusroad/http/Exchange.java
+++ b/http/src/main/java/dev/arbutusroad/http/Exchange.java
@@ -11,6 +11,9 @@
   /** The length that the head states; empty if the body is chunked; 0 if there is none. */
   OptionalLong bodyLength();
 
+  /** How long the request has waited behind earlier ones of its connection, in nanoseconds. */
+  long waitedNanos();
+
   /** The body of the request; reading it tells a caller that waits for that to send it. */
   Body body();
 
--- a/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
@@ -1,5 +1,6 @@
 package dev.arbutusroad.http;
 
+import dev.arbutusroad.core.time.Ticker;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,10 +24,16 @@
   /** How long a caller may go on sending a request that has been answered with a close. */
   private static final long LINGER_MILLIS = 2_000;
 
+  /**
+   * Heads and parts of requests that may wait behind the one in progress. Reading goes on until
+   * then, as not every transport tells of a caller that goes while nothing is read.
+   */
+  private static final int MAX_WAITING_MESSAGES = 8;
+
   private final SocketChannel channel;
   private final ExchangeHandler handler;
   private final Consumer<ServerConnection> whenClosed;
-  private final Deque<Object> pipelined = new ArrayDeque<>(0);
+  private final Deque<Waiting> pipelined = new ArrayDeque<>(0);
   private ServerExchange current;
   private boolean draining;
   private boolean lingering;
@@ -69,10 +76,10 @@
       ReferenceCountUtil.release(message);
     } else if (current != null && (current.isReceived() || !pipelined.isEmpty())) {
       // The next request of a caller that does not wait for answers.
-      pipelined.add(message);
-      channel.config().setAutoRead(false);
+      pipelined.add(new Waiting(message, Ticker.system().nanos()));
+      pace();
     } else {
-      take(message);
+      take(message, 0);
     }
   }
 
@@ -83,14 +90,21 @@
     }
   }
 
-  private void take(Object message) {
+  /** A part of a request that came while an earlier one was served. */
+  private record Waiting(Object message, long sinceNanos) {
+    long nanos() {
+      return Ticker.system().nanos() - sinceNanos;
+    }
+  }
+
+  private void take(Object message, long waitedNanos) {
     if (message instanceof HttpRequest request) {
       if (request.decoderResult().isFailure()) {
         ReferenceCountUtil.release(message);
         refuseMalformed(request);
         return;
       }
-      current = new ServerExchange(this, request);
+      current = new ServerExchange(this, request, waitedNanos);
       handler.handle(current);
     }
     if (message instanceof HttpContent part) {
@@ -104,7 +118,7 @@
   }
 
   private void refuseMalformed(HttpRequest request) {
-    current = new ServerExchange(this, request);
+    current = new ServerExchange(this, request, 0);
     Throwable cause = request.decoderResult().cause();
     HttpResponseStatus status =
         cause instanceof TooLongHttpHeaderException
@@ -121,11 +135,16 @@
       return;
     }
     while (!pipelined.isEmpty() && (current == null || !current.isReceived())) {
-      take(pipelined.poll());
-    }
-    if (pipelined.isEmpty()) {
-      channel.config().setAutoRead(true);
+      Waiting next = pipelined.poll();
+      take(next.message(), next.nanos());
     }
+    pace();
+  }
+
+  /** Reads on unless the request in progress, or those that wait, hold enough. */
+  void pace() {
+    boolean paused = current != null && current.isPaused();
+    channel.config().setAutoRead(!paused && pipelined.size() < MAX_WAITING_MESSAGES);
   }
 
   /** Ends the sending side and drops what the caller still sends, so that it reads the answer. */
@@ -159,7 +178,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    pipelined.forEach(ReferenceCountUtil::release);
+    pipelined.forEach(waiting -> ReferenceCountUtil.release(waiting.message()));
     pipelined.clear();
     if (current != null) {
       ServerExchange abandoned = current;
--- a/http/src/main/java/dev/arbutusroad/http/ServerExchange.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerExchange.java
@@ -24,6 +24,7 @@
   private final ServerConnection connection;
   private final Channel channel;
   private final HttpRequest request;
+  private final long waitedNanos;
   private final OptionalLong bodyLength;
   private final Body body;
   private final boolean keepAlive;
@@ -32,13 +33,20 @@
   private boolean continueExpected;
   private boolean received;
   private boolean discarding;
+  private boolean paused;
   private boolean ended;
   private boolean written;
   private boolean closeAfter;
   private Answer answer;
   private MessageWriter writer;
 
-  ServerExchange(ServerConnection connection, HttpRequest request) {
+  /**
+   * Creates the exchange of a request whose head has been read.
+   *
+   * @param waitedNanos how long the request has waited behind earlier ones of its connection
+   */
+  ServerExchange(ServerConnection connection, HttpRequest request, long waitedNanos) {
+    this.waitedNanos = waitedNanos;
     this.connection = connection;
     this.channel = connection.channel();
     this.request = request;
@@ -63,6 +71,11 @@
     return bodyLength;
   }
 
+  @Override
+  public long waitedNanos() {
+    return waitedNanos;
+  }
+
   @Override
   public Body body() {
     if (continueExpected) {
@@ -96,6 +109,11 @@
     body.flush();
   }
 
+  /** Whether more of the request must not be read at present. */
+  boolean isPaused() {
+    return paused && !received && !discarding;
+  }
+
   boolean isReceived() {
     return received;
   }
@@ -247,14 +265,14 @@
 
   @Override
   public void setReading(boolean reading) {
-    if (!received) {
-      channel.config().setAutoRead(reading);
-    }
+    paused = !reading;
+    connection.pace();
   }
 
   /** Whoever reads the request does not want the rest; the rest is read and dropped. */
   @Override
   public void cancel() {
     discarding = true;
+    connection.pace();
   }
 }
--- a/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
@@ -1,6 +1,7 @@
 package dev.arbutusroad.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.resource.Closer;
@@ -12,8 +13,11 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -126,6 +130,90 @@
     assertThat(readAll(client)).startsWith("HTTP/1.1 400").doesNotContain("never");
   }
 
+  /** Another reader on the way may take the end of such a request for another request. */
+  @Test
+  void requestWithLengthAndTransferEncodingIsRefused() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok("served")));
+    send(
+        client,
+        "POST /a HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "0\r\n\r\n"
+            + get("/smuggled"));
+    assertThat(readAll(client)).startsWith("HTTP/1.1 400").doesNotContain("served");
+  }
+
+  @Test
+  void answerToHeadStatesItsLengthAndHasNoBody() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok("body")));
+    send(client, "HEAD /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assertThat(readAll(client)).contains("content-length: 4").endsWith("\r\n\r\n");
+  }
+
+  @Test
+  void requestBehindAnAnswerThatClosesIsNotServed() throws Exception {
+    List<String> served = new CopyOnWriteArrayList<>();
+    Socket client =
+        connect(
+            exchange -> {
+              served.add(exchange.request().uri());
+              Answer answer = ok(exchange.request().uri());
+              answer.headers().set("connection", "close");
+              exchange.answer(answer);
+            });
+    send(client, get("/a") + get("/b"));
+    assertThat(readAll(client)).endsWith("/a");
+    assertThat(served).containsExactly("/a");
+  }
+
+  @Test
+  void requestBehindAnotherTellsHowLongItHasWaited() throws Exception {
+    CompletableFuture<Exchange> first = new CompletableFuture<>();
+    CompletableFuture<Long> waited = new CompletableFuture<>();
+    Socket client =
+        connect(
+            exchange -> {
+              if (!first.complete(exchange)) {
+                waited.complete(exchange.waitedNanos());
+              }
+            });
+    send(client, get("/a") + get("/b"));
+    Exchange waiting = first.get(20, TimeUnit.SECONDS);
+    assertThat(waiting.waitedNanos()).isZero();
+    var unused = thread.after(TimeUnit.MILLISECONDS.toNanos(30), () -> waiting.answer(ok("first")));
+    assertThat(waited.get(20, TimeUnit.SECONDS)).isGreaterThan(0);
+  }
+
+  /** Its departure must show although nothing is read while a request waits. */
+  @Test
+  void callerThatGoesWithARequestWaitingEndsItsExchange() throws Exception {
+    CountDownLatch gone = new CountDownLatch(1);
+    CountDownLatch begun = new CountDownLatch(1);
+    Socket client =
+        connect(
+            exchange -> {
+              exchange.whenEnded(complete -> gone.countDown());
+              begun.countDown();
+            });
+    send(client, get("/a") + get("/b") + get("/c"));
+    assertThat(begun.await(20, TimeUnit.SECONDS)).isTrue();
+    client.close();
+    assertThat(gone.await(20, TimeUnit.SECONDS)).isTrue();
+  }
+
+  @Test
+  void headWithoutEndIsRefusedWithinItsLimit() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok("never")));
+    send(client, "GET / HTTP/1.1\r\n");
+    sendUntilClosed(client, "x-more: 0123456789012345678901234567890123456789\r\n");
+  }
+
+  @Test
+  void requestLineWithoutEndIsRefusedWithinItsLimit() throws Exception {
+    Socket client = connect(exchange -> exchange.answer(ok("never")));
+    send(client, "GET /");
+    sendUntilClosed(client, "0123456789012345678901234567890123456789");
+  }
+
   @Test
   void drainClosesIdleConnectionsAndFinishesTheOthers() throws Exception {
     CompletableFuture<Exchange> received = new CompletableFuture<>();
@@ -163,6 +251,17 @@
     client.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** Sends text until the other side resets the connection, which it must do within 16 MiB. */
+  private static void sendUntilClosed(Socket client, String text) {
+    assertThatThrownBy(
+            () -> {
+              for (int sent = 0; sent < 16 << 20; sent += text.length()) {
+                send(client, text);
+              }
+            })
+        .isInstanceOf(SocketException.class);
+  }
+
   private static String readAll(Socket client) throws IOException {
     return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnotatedExchange.java
@@ -20,6 +20,11 @@
     return exchange.bodyLength();
   }
 
+  @Override
+  public long waitedNanos() {
+    return exchange.waitedNanos();
+  }
+
   @Override
   public Body body() {
     return exchange.body();
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
@@ -108,7 +108,10 @@
     if (received.deadlineMillis().isPresent()) {
       limitMillis = Math.min(limitMillis, received.deadlineMillis().orElseThrow());
     }
-    long own = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+    long own =
+        ticker.nanos()
+            - received.exchange().waitedNanos()
+            + TimeUnit.MILLISECONDS.toNanos(limitMillis);
     return parent.isPresent() ? Math.min(parent.orElseThrow().deadlineNanos(), own) : own;
   }
 }
