--- a/bench/src/main/java/dev/arbutusroad/bench/membership/StandInMembers.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/membership/StandInMembers.java
@@ -30,7 +30,7 @@
  * <p>The measured member gets what it would get in a cluster of that size: one probe a second, an
  * acknowledgement of each of its probes, and each change as often as members retransmit it.
  */
-final class StandInMembers implements AutoCloseable {
+public final class StandInMembers implements AutoCloseable {
   private static final int RECORDS_IN_DATAGRAM = 6;
   private static final int SERVICES = 110;
   private static final int DOMAINS = 11;
@@ -51,7 +51,14 @@
   private volatile InetSocketAddress measured;
   private volatile boolean stopping;
 
-  StandInMembers(int count, double changesPerSecond, SharedSecret secret) throws IOException {
+  /**
+   * Creates the stand-ins.
+   *
+   * @param count the number of members that they stand in for
+   * @param changesPerSecond changes of members in the whole cluster
+   */
+  public StandInMembers(int count, double changesPerSecond, SharedSecret secret)
+      throws IOException {
     this.changesPerSecond = changesPerSecond;
     sendSeal = new DatagramSeal(secret);
     receiveSeal = new DatagramSeal(secret);
@@ -74,7 +81,8 @@
     }
   }
 
-  void start(InetSocketAddress member) {
+  /** Joins the measured member. */
+  public void start(InetSocketAddress member) {
     measured = member;
     sender.setDaemon(true);
     receiver.setDaemon(true);
--- a/http/src/main/java/dev/arbutusroad/http/Attempt.java
+++ b/http/src/main/java/dev/arbutusroad/http/Attempt.java
@@ -30,7 +30,7 @@
       return;
     }
     closed = true;
-    requestBody.cancel();
+    abandonRequest();
     if (connection != null) {
       connection.close();
     }
@@ -44,7 +44,7 @@
     if (!closed) {
       closed = true;
       connection.close();
-      requestBody.cancel();
+      abandonRequest();
       answerBody.fail(cause);
     }
   }
@@ -111,18 +111,26 @@
       closed = true;
       answerBody.complete();
       if (!requestWritten) {
-        requestBody.cancel();
+        abandonRequest();
       }
     }
   }
 
+  /** The rest of the request is not sent. */
+  private void abandonRequest() {
+    requestBody.cancel();
+    if (writer != null) {
+      writer.discard();
+    }
+  }
+
   /** The connection broke. */
   void broken(Throwable cause) {
     if (closed) {
       return;
     }
     closed = true;
-    requestBody.cancel();
+    abandonRequest();
     if (answerBody == null) {
       listener.failed(cause, true);
     } else {
@@ -149,7 +157,6 @@
   /** The request broke off at its source, so the rest of it can't be sent. */
   @Override
   public void failed(Throwable cause) {
-    writer.discard();
     connection.close();
     broken(new IOException("the request broke off: " + cause.getMessage(), cause));
   }
