--- a/node/src/test/java/dev/arbutusroad/node/datapath/DataPathTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/DataPathTest.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -21,12 +22,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class DataPathTest {
+  /** How long the first request of a connection holds up the second. */
+  private static final long WAIT_MILLIS = 400;
+
   private static final String SHED =
       "HTTP/1.1 503 x\r\narbutus-result: 103 SHED\r\ncontent-length: 0\r\n\r\n";
 
@@ -59,6 +65,56 @@
     assertThat(Arrays.equals(response.body(), body)).isTrue();
   }
 
+  /**
+   * Guards against handing a target more time than its caller has left, after the request has
+   * waited behind another one on its connection.
+   */
+  @Test
+  void timeThatARequestWaitsBehindAnotherIsTakenOffItsLimit() throws Exception {
+    RawTarget target =
+        target(
+            (head, in, out) -> {
+              if (head.contains("/first")) {
+                sleep(WAIT_MILLIS);
+              }
+              return ok(out);
+            });
+    InetSocketAddress entry = entryTo(target, false, 0);
+    try (Socket client = new Socket(entry.getAddress(), entry.getPort())) {
+      RawTarget.write(
+          client.getOutputStream(), request("/first", "keep-alive") + request("/second", "close"));
+      client.getInputStream().readAllBytes();
+    }
+    assertThat(target.heads()).hasSize(2);
+    assertThat(deadlineMillis(target.heads().get(0))).isBetween(1L, 3_000L);
+    assertThat(deadlineMillis(target.heads().get(1))).isBetween(1L, 3_000L - WAIT_MILLIS);
+  }
+
+  private static String request(String path, String connection) {
+    return """
+        GET %s HTTP/1.1\r
+        Host: orders\r
+        arbutus-deadline-ms: 3000\r
+        Connection: %s\r
+        \r
+        """
+        .formatted(path, connection);
+  }
+
+  private static long deadlineMillis(String head) {
+    Matcher found = Pattern.compile("(?i)arbutus-deadline-ms: (\\d+)").matcher(head);
+    assertThat(found.find()).as(head).isTrue();
+    return Long.parseLong(found.group(1));
+  }
+
+  private static void sleep(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Guards against a cut answer that looks whole, with a length and with chunks. */
   @ParameterizedTest
   @ValueSource(
