--- a/bench/src/main/java/dev/arbutusroad/bench/node/NodeProcessUnderTest.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/node/NodeProcessUnderTest.java
@@ -67,7 +67,7 @@
     if (!found.find()) {
       throw new IOException("deploy/system.toml states no java options");
     }
-    return List.of(found.group(1).split(" "));
+    return List.of(found.group(1).split(" ", -1));
   }
 
   private void awaitHealthy() throws IOException, InterruptedException {
@@ -116,7 +116,7 @@
   /** Processor time since the start, in milliseconds. */
   long cpuMillis() throws IOException {
     String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
-    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ", -1);
     return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * MILLIS_PER_CLOCK_TICK;
   }
 
--- a/bench/src/main/java/dev/arbutusroad/bench/node/PacedCallers.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/node/PacedCallers.java
@@ -11,8 +11,13 @@
 /** Callers that send requests at a fixed rate in all, each on a connection of its own. */
 final class PacedCallers {
   private static final byte[] REQUEST =
-      ("GET /plans/1?detail=all HTTP/1.1\r\nHost: planner\r\narbutus-deadline-ms: 5000\r\n"
-              + "Accept: */*\r\n\r\n")
+      """
+      GET /plans/1?detail=all HTTP/1.1\r
+      Host: planner\r
+      arbutus-deadline-ms: 5000\r
+      Accept: */*\r
+      \r
+      """
           .getBytes(StandardCharsets.US_ASCII);
 
   /** Calls that one connection makes a second, which leaves room for slow answers. */
