Let requests of one rank share a service; count levels in groups

Cause 1: a call for a running request ranked a whole importance before new requests of the same rank, two for each hop. Calls now keep the rank of their request, lead by 16 origin groups when they are compared with a level, and go first in the queue. The level is computed from the groups without the lead.

Cause 2: LevelTable averaged levels as plain ranks. One response without a level among many of 50.64 moved the learned level from 6464 to 4848, which is importance 37: all calls of importance 50 were admitted again. Levels are now averaged in refused groups of the importance of the calls, for each kind and importance.

Tests: OverloadTest states the level in groups of the call's importance (51.0 refuses all of importance 50, as 100.127 did). LevelTableTest counts the shares in groups, with the bounds it had.

--- a/bench/src/main/java/dev/arbutusroad/bench/overload/AdmissionBench.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/overload/AdmissionBench.java
@@ -72,7 +72,7 @@
   private final class Waiter implements AdmissionWaiter {
     private final AdmissionTicket ticket =
         new AdmissionTicket(
-            random.nextInt(IMPORTANCES), random.nextLong(), nowNanos + DEADLINE_NANOS, this);
+            random.nextInt(IMPORTANCES), random.nextLong(), false, nowNanos + DEADLINE_NANOS, this);
 
     @Override
     public void start() {
--- a/core/src/main/java/dev/arbutusroad/core/admission/AdmissionController.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/AdmissionController.java
@@ -43,7 +43,7 @@
     regulator.offered(ticket.rank());
     if (ticket.deadlineNanos() - nowNanos <= 0) {
       refuse(ticket, ResultCode.EXPIRED_IN_QUEUE);
-    } else if (ticket.rank() < regulator.level().rank()) {
+    } else if (!regulator.level().admits(ticket.shedRank())) {
       refuse(ticket, ResultCode.SHED);
     } else if (queue.isEmpty() && inFlight < limit.limit()) {
       start(ticket);
--- a/core/src/main/java/dev/arbutusroad/core/admission/AdmissionLevel.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/AdmissionLevel.java
@@ -30,14 +30,37 @@
     }
   }
 
-  /** The rank of a call: importance first, then the group of its origin. */
+  /**
+   * Groups that a call for a running request is ahead of a new request of the same origin. A
+   * refusal would waste the work done so far, and levels move while a request runs; the lead stays
+   * far below one importance, so that new requests of another kind still get their share.
+   */
+  static final int STARTED_LEAD_GROUPS = 16;
+
+  /** The rank of a new request: importance first, then the group of its origin. */
   public static int rankOf(int importance, long originHash) {
     return importance * GROUPS + (int) (originHash >>> GROUP_SHIFT);
   }
 
-  /** Whether calls of this importance and origin pass. */
-  public boolean admits(int importance, long originHash) {
-    return rankOf(importance, originHash) >= rank;
+  /** The rank of a call that a target makes for a running request. */
+  public static int rankOfStarted(int importance, long originHash) {
+    int highest = importance * GROUPS + GROUPS - 1;
+    return Math.min(highest, rankOf(importance, originHash) + STARTED_LEAD_GROUPS);
+  }
+
+  /** Whether calls of this rank pass. */
+  public boolean admits(int callRank) {
+    return callRank >= rank;
+  }
+
+  /** The level that refuses some groups of one importance, and all less important calls. */
+  static AdmissionLevel refusing(int importance, int groups) {
+    return new AdmissionLevel(Math.min(MAX_RANK, importance * GROUPS + groups));
+  }
+
+  /** How many of the groups of one importance are refused, 0 to all of them. */
+  int refusedGroups(int importance) {
+    return Math.max(0, Math.min(GROUPS, rank - importance * GROUPS));
   }
 
   /** The importance that is admitted in part; greater importance is admitted entirely. */
@@ -55,11 +78,6 @@
     return rank >= other.rank ? this : other;
   }
 
-  /** The level that admits as much of calls whose importance is lower by {@code importance}. */
-  public AdmissionLevel lowered(int importance) {
-    return new AdmissionLevel(Math.max(0, Math.min(MAX_RANK, rank - importance * GROUPS)));
-  }
-
   /** The text form used in headers, metrics and dumps: {@code importance.group}. */
   public String format() {
     return importance() + "." + firstGroup();
--- a/core/src/main/java/dev/arbutusroad/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/AdmissionQueue.java
@@ -10,9 +10,10 @@
 /**
  * A bounded queue in strict order of importance.
  *
- * <p>Within one importance it serves the oldest call first, or the newest first while overloaded:
- * then the newest call is the one that still has most of its deadline left. A full queue evicts its
- * least important call in favour of a more important one.
+ * <p>Within one importance it serves calls of running requests before new requests, as refusing
+ * them wastes the work done so far. Among these it serves the oldest call first, or the newest
+ * first while overloaded: then the newest call is the one that still has most of its deadline left.
+ * A full queue evicts the call that it would serve last in favour of one that goes before it.
  */
 public final class AdmissionQueue {
   private static final Comparator<AdmissionTicket> BY_LEAVE_TIME =
@@ -22,7 +23,11 @@
               : Long.compare(a.sequence, b.sequence);
 
   private final int capacity;
-  private final Lane[] lanes = new Lane[CallPolicy.MAX_IMPORTANCE + 1];
+
+  /** New requests and calls of running requests. */
+  private static final int LANES_OF_IMPORTANCE = 2;
+
+  private final Lane[] lanes = new Lane[LANES_OF_IMPORTANCE * (CallPolicy.MAX_IMPORTANCE + 1)];
   private final TreeSet<AdmissionTicket> byLeaveTime = new TreeSet<>(BY_LEAVE_TIME);
   private boolean newestFirst;
   private long nextSequence;
@@ -32,8 +37,8 @@
       throw new IllegalArgumentException("capacity must be at least 1, not " + capacity);
     }
     this.capacity = capacity;
-    for (int importance = 0; importance < lanes.length; importance++) {
-      lanes[importance] = new Lane();
+    for (int lane = 0; lane < lanes.length; lane++) {
+      lanes[lane] = new Lane();
     }
   }
 
@@ -63,8 +68,7 @@
     Optional<AdmissionTicket> evicted = Optional.empty();
     if (size() >= capacity) {
       AdmissionTicket candidate = evictionCandidate();
-      if (ticket.importance() < candidate.importance()
-          || (ticket.importance() == candidate.importance() && !newestFirst)) {
+      if (lane(ticket) < lane(candidate) || (lane(ticket) == lane(candidate) && !newestFirst)) {
         return Optional.of(ticket);
       }
       remove(candidate);
@@ -74,15 +78,15 @@
     ticket.offeredNanos = nowNanos;
     ticket.leaveNanos = leaveNanos;
     ticket.sequence = nextSequence++;
-    lanes[ticket.importance()].append(ticket);
+    lanes[lane(ticket)].append(ticket);
     byLeaveTime.add(ticket);
     return evicted;
   }
 
   /** Removes and returns the next ticket to serve. */
   public Optional<AdmissionTicket> poll() {
-    for (int importance = lanes.length - 1; importance >= 0; importance--) {
-      Lane lane = lanes[importance];
+    for (int index = lanes.length - 1; index >= 0; index--) {
+      Lane lane = lanes[index];
       if (lane.oldest != null) {
         AdmissionTicket ticket = newestFirst ? lane.newest : lane.oldest;
         remove(ticket);
@@ -95,7 +99,7 @@
   /** Removes a queued ticket. */
   public void remove(AdmissionTicket ticket) {
     byLeaveTime.remove(ticket);
-    lanes[ticket.importance()].unlink(ticket);
+    lanes[lane(ticket)].unlink(ticket);
     ticket.state = AdmissionTicket.State.CLOSED;
   }
 
@@ -112,11 +116,12 @@
   /** Removes and returns the tickets below a rank. */
   public List<AdmissionTicket> removeBelow(int rank) {
     List<AdmissionTicket> removed = new ArrayList<>();
-    for (int importance = 0; importance <= rank / AdmissionLevel.GROUPS; importance++) {
-      AdmissionTicket ticket = lanes[importance].oldest;
+    int end = LANES_OF_IMPORTANCE * (rank / AdmissionLevel.GROUPS + 1);
+    for (int lane = 0; lane < end; lane++) {
+      AdmissionTicket ticket = lanes[lane].oldest;
       while (ticket != null) {
         AdmissionTicket next = ticket.newer;
-        if (ticket.rank() < rank) {
+        if (ticket.shedRank() < rank) {
           remove(ticket);
           removed.add(ticket);
         }
@@ -142,6 +147,10 @@
     return wait;
   }
 
+  private static int lane(AdmissionTicket ticket) {
+    return LANES_OF_IMPORTANCE * ticket.importance() + (ticket.isStarted() ? 1 : 0);
+  }
+
   private AdmissionTicket evictionCandidate() {
     for (Lane lane : lanes) {
       if (lane.oldest != null) {
--- a/core/src/main/java/dev/arbutusroad/core/admission/AdmissionTicket.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/AdmissionTicket.java
@@ -14,7 +14,9 @@
   }
 
   private final int importance;
+  private final boolean started;
   private final int rank;
+  private final int shedRank;
   private final long deadlineNanos;
   private final AdmissionWaiter waiter;
 
@@ -29,16 +31,23 @@
   /**
    * Creates a ticket for one offer.
    *
+   * @param started whether the call is made for a request that runs already
    * @param deadlineNanos the deadline on the ticker of the controller
    * @param waiter what to call when the ticket leaves the queue
    */
   public AdmissionTicket(
-      int importance, long originHash, long deadlineNanos, AdmissionWaiter waiter) {
+      int importance,
+      long originHash,
+      boolean started,
+      long deadlineNanos,
+      AdmissionWaiter waiter) {
     if (importance < CallPolicy.MIN_IMPORTANCE || importance > CallPolicy.MAX_IMPORTANCE) {
       throw new IllegalArgumentException("importance must be 0 to 100, not " + importance);
     }
     this.importance = importance;
+    this.started = started;
     this.rank = AdmissionLevel.rankOf(importance, originHash);
+    this.shedRank = started ? AdmissionLevel.rankOfStarted(importance, originHash) : rank;
     this.deadlineNanos = deadlineNanos;
     this.waiter = Objects.requireNonNull(waiter, "waiter");
   }
@@ -47,11 +56,24 @@
     return importance;
   }
 
-  /** Importance and origin group, see {@link AdmissionLevel#rankOf}. */
+  /** Whether the call is made for a request that runs already. */
+  boolean isStarted() {
+    return started;
+  }
+
+  /**
+   * Importance and origin group, see {@link AdmissionLevel#rankOf}: the same for all calls of one
+   * request, so that the level counts whole requests.
+   */
   public int rank() {
     return rank;
   }
 
+  /** The rank that is compared with the level. */
+  int shedRank() {
+    return shedRank;
+  }
+
   public long deadlineNanos() {
     return deadlineNanos;
   }
--- a/core/src/test/java/dev/arbutusroad/core/admission/AdmissionControllerTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/admission/AdmissionControllerTest.java
@@ -22,7 +22,7 @@
     List<Call> startOrder = new ArrayList<>();
 
     Call(int importance, long originHash, long deadlineNanos) {
-      ticket = new AdmissionTicket(importance, originHash, deadlineNanos, this);
+      ticket = new AdmissionTicket(importance, originHash, false, deadlineNanos, this);
     }
 
     @Override
--- a/core/src/test/java/dev/arbutusroad/core/admission/GateSimulation.java
+++ b/core/src/test/java/dev/arbutusroad/core/admission/GateSimulation.java
@@ -51,7 +51,8 @@
 
     Call(int kind) {
       this.kind = kind;
-      ticket = new AdmissionTicket(IMPORTANCE[kind], random.nextLong(), now + DEADLINE, this);
+      ticket =
+          new AdmissionTicket(IMPORTANCE[kind], random.nextLong(), false, now + DEADLINE, this);
     }
 
     @Override
--- a/core/src/test/java/dev/arbutusroad/core/admission/LevelTableTest.java
+++ b/core/src/test/java/dev/arbutusroad/core/admission/LevelTableTest.java
@@ -12,20 +12,27 @@
   private static final AdmissionLevel STRICT = new AdmissionLevel(AdmissionLevel.MAX_RANK);
   private final LevelTable table = new LevelTable();
 
-  private int rank(String kind, long nowNanos) {
-    return table.level("orders", kind, nowNanos).rank();
+  private static final CallClass HIGHEST = new CallClass("a", 100);
+  private static final CallClass NORMAL = new CallClass("a", 50);
+
+  private int rank(CallClass calls, long nowNanos) {
+    return table.level("orders", calls, nowNanos).rank();
+  }
+
+  private static AdmissionLevel refusing(int groups) {
+    return new AdmissionLevel(NORMAL.importance() * AdmissionLevel.GROUPS + groups);
   }
 
   /** Guards against a class that starves on a level that no response refreshes any more. */
   @Test
   void unrefreshedLevelIsLoweredInStepsUntilOpen() {
-    table.learn("orders", "a", STRICT, 0);
-    assertThat(rank("a", LevelTable.EXPIRY_NANOS - 1)).isEqualTo(STRICT.rank());
-    assertThat(rank("b", 0)).isZero();
+    table.learn("orders", HIGHEST, STRICT, 0);
+    assertThat(rank(HIGHEST, LevelTable.EXPIRY_NANOS - 1)).isEqualTo(STRICT.rank());
+    assertThat(rank(new CallClass("b", 100), 0)).isZero();
     int previous = STRICT.rank();
     int steps = 0;
     for (long now = LevelTable.EXPIRY_NANOS; previous > 0; now += LevelTable.STEP_NANOS) {
-      int next = rank("a", now);
+      int next = rank(HIGHEST, now);
       assertThat(next).isLessThan(previous);
       previous = next;
       steps++;
@@ -40,14 +47,42 @@
   @Test
   void levelsOfSeveralTargetsAreAveraged() {
     for (int i = 0; i < 400; i++) {
-      table.learn("orders", "a", i % 4 == 0 ? STRICT : AdmissionLevel.OPEN, i);
-      assertThat(rank("a", i)).isLessThanOrEqualTo(STRICT.rank());
+      table.learn("orders", HIGHEST, i % 4 == 0 ? STRICT : AdmissionLevel.OPEN, i);
+      assertThat(rank(HIGHEST, i)).isLessThanOrEqualTo(STRICT.rank());
     }
-    assertThat(rank("a", 400)).isBetween(STRICT.rank() / 10, STRICT.rank() / 2);
+    int refused = rank(HIGHEST, 400) - HIGHEST.importance() * AdmissionLevel.GROUPS;
+    assertThat(refused).isBetween(AdmissionLevel.GROUPS / 10, AdmissionLevel.GROUPS / 2);
     for (int i = 400; i < 500; i++) {
-      table.learn("orders", "a", AdmissionLevel.OPEN, i);
+      table.learn("orders", HIGHEST, AdmissionLevel.OPEN, i);
+    }
+    assertThat(rank(HIGHEST, 500)).isZero();
+  }
+
+  /**
+   * Guards against one response without a level, of a request that met a gate with room, that
+   * reopens a service for all requests.
+   */
+  @Test
+  void openResponseAmongOthersLowersTheLevelByItsShare() {
+    for (int i = 0; i < 20; i++) {
+      table.learn("orders", NORMAL, refusing(64), i);
+    }
+    table.learn("orders", NORMAL, AdmissionLevel.OPEN, 20);
+    assertThat(table.level("orders", NORMAL, 20)).isEqualTo(refusing(48));
+  }
+
+  /** Guards against a level between two classes that is learned as one inside either of them. */
+  @Test
+  void levelBesideTheImportanceRefusesAllOrNothing() {
+    CallClass more = new CallClass("a", 70);
+    CallClass less = new CallClass("a", 30);
+    for (CallClass calls : List.of(more, less)) {
+      table.learn("orders", calls, refusing(64), 0);
     }
-    assertThat(rank("a", 500)).isZero();
+    assertThat(table.level("orders", more, 0)).isEqualTo(AdmissionLevel.OPEN);
+    AdmissionLevel all = table.level("orders", less, 0);
+    assertThat(all.admits(AdmissionLevel.rankOf(30, -1))).isFalse();
+    assertThat(all.admits(AdmissionLevel.rankOf(31, 0))).isTrue();
   }
 
   /** Guards against calls that are refused although one target of the service has room for them. */
@@ -55,13 +90,14 @@
   void callIsRefusedOnlyBelowTheLevelsOfAllTargets() {
     List<String> targets = List.of("m1", "m2", "m3");
     for (String target : List.of("m1", "m2")) {
-      table.learn(target, "a", STRICT, 0);
+      table.learn(target, HIGHEST, STRICT, 0);
     }
-    assertThat(table.lowest(targets, "a", 0)).isEqualTo(AdmissionLevel.OPEN);
-    table.learn("m3", "a", new AdmissionLevel(7), 0);
-    assertThat(table.lowest(targets, "a", 0).rank()).isEqualTo(7);
-    assertThat(table.lowest(List.of("m1", "m2"), "a", 0)).isEqualTo(STRICT);
-    assertThat(table.lowest(List.of(), "a", 0)).isEqualTo(AdmissionLevel.OPEN);
+    assertThat(table.lowest(targets, HIGHEST, 0)).isEqualTo(AdmissionLevel.OPEN);
+    AdmissionLevel open = new AdmissionLevel(STRICT.rank() - 100);
+    table.learn("m3", HIGHEST, open, 0);
+    assertThat(table.lowest(targets, HIGHEST, 0)).isEqualTo(open);
+    assertThat(table.lowest(List.of("m1", "m2"), HIGHEST, 0)).isEqualTo(STRICT);
+    assertThat(table.lowest(List.of(), HIGHEST, 0)).isEqualTo(AdmissionLevel.OPEN);
   }
 
   /**
@@ -75,15 +111,19 @@
       int importance = random.nextInt(100);
       long origin = random.nextLong();
       assertThat(AdmissionLevel.parse(level.format())).contains(level);
-      if (level.admits(importance, origin)) {
-        assertThat(level.admits(importance + 1, random.nextLong())).isTrue();
+      int rank = AdmissionLevel.rankOf(importance, origin);
+      int started = AdmissionLevel.rankOfStarted(importance, origin);
+      int moreImportant = AdmissionLevel.rankOf(importance + 1, random.nextLong());
+      assertThat(started).isBetween(rank, moreImportant - 1);
+      if (level.admits(started)) {
+        assertThat(level.admits(moreImportant)).isTrue();
       }
     }
     for (String malformed : new String[] {"", "1", ".1", "1.", "101.0", "1.128", "-1.0", "1.x"}) {
       assertThat(AdmissionLevel.parse(malformed)).isEmpty();
     }
     for (int i = 0; i < 2 * LevelTable.MAX_ENTRIES; i++) {
-      table.learn("orders", "kind" + i, STRICT, 0);
+      table.learn("orders", new CallClass("kind" + i, 100), STRICT, 0);
     }
     assertThat(table.snapshot()).hasSize(LevelTable.MAX_ENTRIES);
   }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallContext.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallContext.java
@@ -1,5 +1,7 @@
 package dev.arbutusroad.node.datapath;
 
+import dev.arbutusroad.core.admission.AdmissionLevel;
+import dev.arbutusroad.core.admission.CallClass;
 import java.util.Objects;
 
 /**
@@ -32,6 +34,23 @@
     Objects.requireNonNull(caller, "caller");
   }
 
+  /** The calls that meet the same levels as this one. */
+  CallClass callClass() {
+    return new CallClass(kind, importance);
+  }
+
+  /** Whether a target makes the call for a request that it runs. */
+  boolean isChild() {
+    return depth > 1;
+  }
+
+  /** Its place in the order of admission; a call for a running request is a little ahead. */
+  int rank() {
+    return isChild()
+        ? AdmissionLevel.rankOfStarted(importance, originId)
+        : AdmissionLevel.rankOf(importance, originId);
+  }
+
   /** A number from 0 to 65,535 that is the same at every hop of one original request. */
   int originHash() {
     return (int) (originId >>> 48);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallTerms.java
@@ -10,9 +10,6 @@
 
 /** Resolves the terms of a call: its importance, its deadline and who pays for its retries. */
 final class CallTerms {
-  /** Less than the distance between two ranks of routes, over the depth of usual call chains. */
-  private static final int CHILD_STEP = 2;
-
   private final Ticker ticker;
   private final RandomGenerator random;
 
@@ -41,7 +38,7 @@
     int grant = ownRetries ? policy.retryAllowance() : 0;
     CallContext template =
         parent.isPresent()
-            ? child(parent.orElseThrow(), policy, grant, ownRetries, caller, resolver.version())
+            ? child(parent.orElseThrow(), policy, grant, caller, resolver.version())
             : original(policy, grant, ownRetries, caller, resolver.version());
     InboundCall payer =
         ownRetries || parent.isEmpty()
@@ -66,17 +63,12 @@
   }
 
   private static CallContext child(
-      InboundCall parent,
-      CallPolicy policy,
-      int grant,
-      boolean ownRetries,
-      String caller,
-      long version) {
+      InboundCall parent, CallPolicy policy, int grant, String caller, long version) {
     CallContext context = parent.context();
     return new CallContext(
         context.originId(),
         policy.kind(),
-        childImportance(parent, ownRetries),
+        context.importance(),
         policy.unrepeatable(),
         grant,
         0,
@@ -86,15 +78,6 @@
         context.repeated());
   }
 
-  /**
-   * A call for running work keeps its importance; where each call has retries of its own, it goes
-   * before new work of that importance, as its refusal would waste what has been done.
-   */
-  private static int childImportance(InboundCall parent, boolean ownRetries) {
-    int importance = parent.context().importance();
-    return ownRetries ? Math.min(CallPolicy.MAX_IMPORTANCE, importance + CHILD_STEP) : importance;
-  }
-
   /** A target's call without a context is background work unless a rule gives its importance. */
   private static int importance(CallPolicy policy, boolean ownRetries) {
     boolean byDefault = policy.kind().equals(CallPolicy.DEFAULT_KIND);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateAdmission.java
@@ -119,7 +119,9 @@
       } else if (verdict == Verdict.WAIT) {
         park();
       } else {
-        ticket = new AdmissionTicket(context.importance(), context.originId(), deadlineNanos, this);
+        ticket =
+            new AdmissionTicket(
+                context.importance(), context.originId(), context.isChild(), deadlineNanos, this);
         controller.offer(ticket, now);
       }
     }
--- a/node/src/main/java/dev/arbutusroad/node/datapath/InboundCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/InboundCall.java
@@ -58,7 +58,7 @@
     level = level.max(seen);
     if (upstream.isPresent()) {
       InboundCall call = upstream.orElseThrow();
-      call.noteLevel(seen.lowered(context.importance() - call.context().importance()));
+      call.noteLevel(seen);
     }
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OutgoingCall.java
@@ -1,5 +1,6 @@
 package dev.arbutusroad.node.datapath;
 
+import dev.arbutusroad.core.admission.CallClass;
 import dev.arbutusroad.core.config.CallPolicy;
 import dev.arbutusroad.core.fatal.Fingerprint;
 import dev.arbutusroad.core.membership.Member;
@@ -109,6 +110,11 @@
         isRepeated());
   }
 
+  /** The calls that meet the same levels as this one. */
+  CallClass callClass() {
+    return template.callClass();
+  }
+
   /** Whether the next attempt is not the first that may reach a target, here or further up. */
   boolean isRepeated() {
     return reached || template.repeated();
--- a/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/OverloadControl.java
@@ -3,6 +3,7 @@
 import dev.arbutusroad.core.admission.AdmissionController;
 import dev.arbutusroad.core.admission.AdmissionLevel;
 import dev.arbutusroad.core.admission.AnnouncedLimit;
+import dev.arbutusroad.core.admission.CallClass;
 import dev.arbutusroad.core.admission.LevelTable;
 import dev.arbutusroad.core.admission.ProbingLimit;
 import dev.arbutusroad.core.fatal.FatalEntry;
@@ -76,12 +77,12 @@
       return Optional.of(Failure.of(ResultCode.FATAL_REQUEST));
     }
     String service = call.received().service();
-    AdmissionLevel level = level(service, call.policy().kind(), now);
+    AdmissionLevel level = level(service, call.callClass(), now);
     if (level.rank() == 0) {
       return Optional.empty();
     }
     CallContext template = call.context(0, 0);
-    if (level.admits(template.importance(), template.originId())) {
+    if (level.admits(template.rank())) {
       return Optional.empty();
     }
     shedAtExit++;
@@ -109,27 +110,25 @@
       implements Predicate<Member> {
     @Override
     public boolean test(Member member) {
-      return levels
-          .level(member.id(), context.kind(), nowNanos)
-          .admits(context.importance(), context.originId());
+      return levels.level(member.id(), context.callClass(), nowNanos).admits(context.rank());
     }
   }
 
   /** Takes in the level that a response carried. */
   void learn(OutgoingCall call, Member member, AdmissionLevel seen) {
     long now = ticker.nanos();
-    String kind = call.policy().kind();
-    levels.learn(member.id(), kind, seen, now);
-    call.parent().noteLevel(level(call.received().service(), kind, now));
+    CallClass calls = call.callClass();
+    levels.learn(member.id(), calls, seen, now);
+    call.parent().noteLevel(level(call.received().service(), calls, now));
   }
 
   /** The level below which all targets of a service refuse calls. */
-  private AdmissionLevel level(String service, String kind, long nowNanos) {
+  private AdmissionLevel level(String service, CallClass calls, long nowNanos) {
     if (levels.isEmpty()) {
       return AdmissionLevel.OPEN;
     }
     List<String> targets = members.get().serving(service).stream().map(Member::id).toList();
-    return levels.lowest(targets, kind, nowNanos);
+    return levels.lowest(targets, calls, nowNanos);
   }
 
   /** Decides on another attempt and takes its cost. */
--- a/node/src/test/java/dev/arbutusroad/node/datapath/OverloadTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/OverloadTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import dev.arbutusroad.core.admission.AdmissionLevel;
 import dev.arbutusroad.core.fatal.FatalEntry;
 import dev.arbutusroad.core.net.Addresses;
 import dev.arbutusroad.core.resource.Closer;
@@ -15,6 +14,7 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -99,7 +99,7 @@
     assertThat(strict.heads()).hasSize(1);
     DataPath path = nodes.paths().get(0);
     assertThat(state(nodes, path).learnedLevels())
-        .containsEntry("orders0/test", new AdmissionLevel(AdmissionLevel.MAX_RANK).format());
+        .containsExactly(Map.entry("orders0/test/50", "51.0"));
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
     while (get(entry, "/").statusCode() != 200 && System.nanoTime() < until) {
       Thread.onSpinWait();
