Leave the last slots of a target free

Cause: the limit of a gate was all slots that its target announced. Targets of the smallest services run all calls 1.3 times slower from 95% of their slots, so a saturated target served 36 / 1.3 = 27.7 calls in the time of one, where 34 of 36 slots serve 34. These services decide how many whole requests the graph serves.

Ruled out: learning the knee by measurement; ProbingLimit settles above the slots, and at full load its dips would cost more than the slots that are left free here (1 in 20 at most).

--- a/core/src/main/java/dev/arbutusroad/core/admission/AnnouncedLimit.java
+++ b/core/src/main/java/dev/arbutusroad/core/admission/AnnouncedLimit.java
@@ -1,11 +1,17 @@
 package dev.arbutusroad.core.admission;
 
 /**
- * The number of calls that the target says it runs at once; a measured limit until it has said so.
+ * A little less than the number of calls that the target says it runs at once; a measured limit
+ * until it has said so.
  *
  * <p>More calls than that would only wait in the target, where more important ones can't pass them.
+ * The last slots stay free, as some targets run all calls more slowly when they are nearly full:
+ * these lose more than the slots are worth.
  */
 public final class AnnouncedLimit implements ConcurrencyLimit {
+  /** Targets of the users' smallest services slow down by 1.3 from this share of their slots. */
+  private static final double NEARLY_FULL = 0.95;
+
   private final ConcurrencyLimit measured;
   private int announced;
 
@@ -15,7 +21,12 @@
 
   /** Sets the announced number; 0 if the target does not know it. */
   public void announce(int slots) {
-    announced = Math.max(0, slots);
+    announced = slots > 0 ? usable(slots) : 0;
+  }
+
+  /** The most calls that leave the target less than nearly full; at least one. */
+  private static int usable(int slots) {
+    return Math.max(1, (int) Math.ceil(NEARLY_FULL * slots) - 1);
   }
 
   @Override
