Pass on no answer that names another call; retire unnamed connections

Cause: answers on a connection to a target were matched by their order alone in the product's own interface. A second copy of an answer, sent once the next request was on the connection, became the answer of that request. With the users' interface the id was compared, but not for 421 and for refusals with "Not-Executed": a late copy of one declared the next request not run while it ran, and a caller would have sent it again.

An answer that names another call is now never usable: the outcome is unknown and the connection closes. After an answer that names no call, the connection is not used again. Targets copy arbutus-call to their answers (docs/interface.md); the stand-in target does.

Ruled out: a check for surplus bytes before a request is sent, which is there and finds only copies that come earlier.

Before: two rows of PlatformCallProtocolTest.judgesAnswers (503 and 421 with another id) were judged as refusals of this request, and LateCopyTest's second case had no rule that could tell the copy. After: all pass.

--- a/bench/src/main/java/dev/arbutusroad/bench/node/FixedTarget.java
+++ b/bench/src/main/java/dev/arbutusroad/bench/node/FixedTarget.java
@@ -8,18 +8,22 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
-/** A target that answers each request with the same bytes after a fixed time. */
+/** A target that answers each request with the same body after a fixed time. */
 final class FixedTarget implements Closeable {
   static final int BODY_BYTES = 600;
   private static final int BACKLOG = 512;
 
-  private static final byte[] ANSWER =
-      ("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: "
-              + BODY_BYTES
-              + "\r\n\r\n"
-              + "x".repeat(BODY_BYTES))
-          .getBytes(StandardCharsets.US_ASCII);
+  private static final Pattern CALL = Pattern.compile("(?i)(arbutus-call: [^\r]+\r\n)");
+  private static final int MAX_HEAD_BYTES = 4_096;
+
+  private static final String START =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: "
+          + BODY_BYTES
+          + "\r\n";
+  private static final String END = "\r\n" + "x".repeat(BODY_BYTES);
 
   private final ServerSocket socket;
   private final long workMillis;
@@ -48,9 +52,13 @@
 
   private void serve(Socket caller) {
     try (caller) {
-      while (readHead(caller.getInputStream())) {
+      for (String head = readHead(caller.getInputStream());
+          !head.isEmpty();
+          head = readHead(caller.getInputStream())) {
         TimeUnit.MILLISECONDS.sleep(workMillis);
-        caller.getOutputStream().write(ANSWER);
+        Matcher call = CALL.matcher(head);
+        String answer = START + (call.find() ? call.group(1) : "") + END;
+        caller.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
       }
     } catch (IOException e) {
       // The node closed a connection, as it may at any time.
@@ -59,23 +67,18 @@
     }
   }
 
-  /** Reads up to the empty line that ends a head; the requests have no body. */
-  private static boolean readHead(InputStream in) throws IOException {
-    byte[] buffer = new byte[4_096];
-    int matched = 0;
-    while (true) {
+  /** Reads up to the empty line that ends a head; empty at the end of the connection. */
+  private static String readHead(InputStream in) throws IOException {
+    byte[] buffer = new byte[MAX_HEAD_BYTES];
+    StringBuilder head = new StringBuilder();
+    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
       int count = in.read(buffer);
       if (count < 0) {
-        return false;
-      }
-      for (int i = 0; i < count; i++) {
-        boolean expected = buffer[i] == (matched % 2 == 0 ? '\r' : '\n');
-        matched = expected ? matched + 1 : 0;
-      }
-      if (matched == 4) {
-        return true;
+        return "";
       }
+      head.append(new String(buffer, 0, count, StandardCharsets.US_ASCII));
     }
+    return head.toString();
   }
 
   private static void daemon(Runnable task) {
--- a/core/src/main/java/dev/arbutusroad/core/edge/CallProtocol.java
+++ b/core/src/main/java/dev/arbutusroad/core/edge/CallProtocol.java
@@ -13,11 +13,18 @@
   void describe(HeaderFields request, TargetCall call);
 
   /**
-   * Judges the head of a target's answer.
+   * Judges the head of a target's answer. One that names another request is never usable.
    *
-   * @param request the header fields that were sent
+   * @param request the header fields as the caller sent them
+   * @param token the token of the call that the target was told
    */
-  AnswerVerdict judge(HeaderFields request, int status, HeaderFields answer);
+  AnswerVerdict judge(HeaderFields request, String token, int status, HeaderFields answer);
+
+  /**
+   * Whether an answer names its request. If not, a second copy of it that comes late can't be told
+   * from the answer to the next request of its connection.
+   */
+  boolean namesRequest(HeaderFields answer);
 
   /** The status of an answer that a node makes itself. */
   int status(Failure failure);
--- a/http/src/main/java/dev/arbutusroad/http/Body.java
+++ b/http/src/main/java/dev/arbutusroad/http/Body.java
@@ -143,6 +143,11 @@
     }
   }
 
+  /** Has the connection closed that the body comes on, once the body has ended. */
+  public void retireConnection() {
+    source.retireConnection();
+  }
+
   /** The sink does not want the rest. */
   public void cancel() {
     if (end == null) {
--- a/http/src/main/java/dev/arbutusroad/http/BodySource.java
+++ b/http/src/main/java/dev/arbutusroad/http/BodySource.java
@@ -7,4 +7,7 @@
 
   /** The consumer does not want the rest. */
   void cancel();
+
+  /** The connection that the body comes on must not carry another message afterwards. */
+  default void retireConnection() {}
 }
--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -176,6 +176,11 @@
     channel.config().setAutoRead(reading);
   }
 
+  @Override
+  public void retireConnection() {
+    reusable = false;
+  }
+
   /** The rest of the answer can't be skipped cheaply, so the connection ends with it. */
   @Override
   public void cancel() {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusProtocol.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ArbutusProtocol.java
@@ -29,13 +29,21 @@
   }
 
   @Override
-  public AnswerVerdict judge(HeaderFields request, int status, HeaderFields answer) {
+  public AnswerVerdict judge(HeaderFields request, String token, int status, HeaderFields answer) {
+    if (namesRequest(answer) && !answer.first(ArbutusHeaders.CALL).equals(Optional.of(token))) {
+      return AnswerVerdict.UNUSABLE;
+    }
     boolean notRun =
         status == SERVICE_UNAVAILABLE
             && answer.first(ArbutusHeaders.NOT_RUN).equals(Optional.of("true"));
     return notRun ? AnswerVerdict.NOT_RUN : AnswerVerdict.ANSWER;
   }
 
+  @Override
+  public boolean namesRequest(HeaderFields answer) {
+    return answer.first(ArbutusHeaders.CALL).isPresent();
+  }
+
   @Override
   public int status(Failure failure) {
     return failure.code().httpStatus();
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Gate.java
@@ -105,12 +105,17 @@
   }
 
   /** Why an answer of the target must not be passed on; empty if it may be. */
-  Optional<ResultCode> rejection(ReceivedCall call, Answer answer) {
+  Optional<ResultCode> rejection(ReceivedCall call, InboundCall inboundCall, Answer answer) {
+    MessageHeaderFields fields = new MessageHeaderFields(answer.headers());
+    if (!protocol.namesRequest(fields)) {
+      answer.body().retireConnection();
+    }
     AnswerVerdict verdict =
         protocol.judge(
             new MessageHeaderFields(call.request().headers()),
+            inboundCall.token(),
             answer.status(),
-            new MessageHeaderFields(answer.headers()));
+            fields);
     return switch (verdict) {
       case ANSWER -> Optional.empty();
       case NOT_RUN -> Optional.of(ResultCode.TARGET_REFUSED);
--- a/node/src/main/java/dev/arbutusroad/node/datapath/GateCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/GateCall.java
@@ -208,7 +208,7 @@
   }
 
   private void answered(Answer answer) {
-    Optional<ResultCode> rejected = gate.rejection(call, answer);
+    Optional<ResultCode> rejected = gate.rejection(call, inboundCall, answer);
     if (rejected.isPresent()) {
       reject(answer, rejected.orElseThrow());
       return;
--- a/tools/src/main/java/dev/arbutusroad/tools/target/CallService.java
+++ b/tools/src/main/java/dev/arbutusroad/tools/target/CallService.java
@@ -53,10 +53,18 @@
                   "{\"healthy\":" + behaviour.healthy() + "}"));
       case TargetState.LOAD_PATH ->
           Single.succeeded(json(context, responses.ok(), state.loadJson()));
-      default -> call(context, request, responses, behaviour);
+      default ->
+          call(context, request, responses, behaviour).map(response -> naming(request, response));
     };
   }
 
+  /** Names the call in its answer, so that the node can use the connection again. */
+  private static StreamingHttpResponse naming(
+      StreamingHttpRequest request, StreamingHttpResponse response) {
+    CharSequence token = request.headers().get(Headers.CALL);
+    return token == null ? response : response.setHeader(Headers.CALL, token);
+  }
+
   private Single<StreamingHttpResponse> call(
       HttpServiceContext context,
       StreamingHttpRequest request,
