Close a connection on bytes that belong to no answer

Cause: a target sent the start of a second copy of a refusal after the refusal. No message was decoded from it, so the connection returned to the pool with the bytes in its decoder, and the next answer became their continuation: it had the status and the "not run" header of the copy and the id of the new request.

Ruled out: the retry rules and the classification of answers, which act correctly on the head that they are given; whole duplicates, which are told apart by their id.

Fix: the decoder takes bytes only while an answer is awaited; others close the connection. If the copy arrives after the next request was sent, an answer with a second status line in its head is malformed.

--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -13,7 +13,8 @@
 import java.io.IOException;
 
 /** An outgoing connection, which carries one request at a time (no pipelining). */
-final class ClientConnection extends ChannelInboundHandlerAdapter implements BodySource {
+final class ClientConnection extends ChannelInboundHandlerAdapter
+    implements BodySource, ResponseDecoder.Connection {
   private final SocketChannel channel;
   private final ConnectionPool pool;
   private Attempt current;
@@ -50,11 +51,22 @@
     return channel.isWritable();
   }
 
-  /** Returns whether the answer to the request in progress has no body. */
-  boolean isAnswerBodyless() {
+  @Override
+  public boolean isAnswerAwaited() {
+    return current != null && !current.isClosed();
+  }
+
+  @Override
+  public boolean isAnswerBodyless() {
     return current != null && current.isAnswerBodyless();
   }
 
+  /** Closes the connection, as the framing of its answers cannot be trusted any more. */
+  @Override
+  public void surplusReceived() {
+    close();
+  }
+
   /** Returns whether the connection is open and has not been idle for too long. */
   boolean isUsable(long nowNanos) {
     return channel.isActive() && nowNanos - idleSinceNanos < maxIdleNanos;
@@ -71,8 +83,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (current == null || current.isClosed()) {
-      // Bytes that belong to no request: the framing of this connection cannot be trusted.
+    if (!isAnswerAwaited()) {
       ReferenceCountUtil.release(message);
       close();
       return;
@@ -91,6 +102,10 @@
       fail(new IOException("the answer is malformed", head.decoderResult().cause()));
       return false;
     }
+    if (MergedHeads.isMerged(head)) {
+      fail(new IOException("the head of the answer contains the start of another answer"));
+      return false;
+    }
     interimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (interimAnswer) {
       return true;
@@ -131,8 +146,8 @@
   }
 
   /**
-   * Releases the connection to the pool. This is not done earlier, as surplus bytes read together
-   * with an answer could otherwise be taken for the answer to the next request.
+   * Releases the connection to the pool. This is not done earlier, as bytes that were read together
+   * with an answer and follow it close the connection.
    */
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
--- a/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
+++ b/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
@@ -80,7 +80,7 @@
                 ClientConnection connection = new ClientConnection(channel, ConnectionPool.this);
                 channel
                     .pipeline()
-                    .addLast(new ResponseDecoder(connection::isAnswerBodyless))
+                    .addLast(new ResponseDecoder(connection))
                     .addLast(new HttpRequestEncoder())
                     .addLast(connection);
               }
--- a/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
@@ -1,30 +1,54 @@
 package dev.arbutusroad.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import java.util.function.BooleanSupplier;
+import java.util.List;
 
 /**
  * Decodes answers. An answer to a HEAD request has no body, whatever its Content-Length. An answer
  * with both a Content-Length and a Transfer-Encoding is malformed, as its end is ambiguous.
+ *
+ * <p>Bytes that arrive while no answer is awaited are dropped and reported. Kept in the decoder,
+ * they would become the start of the answer to the next request.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
-  private final BooleanSupplier bodyless;
-
-  /**
-   * Creates a decoder.
-   *
-   * @param bodyless whether the answer to the request in progress has no body
-   */
-  ResponseDecoder(BooleanSupplier bodyless) {
+  /** The connection whose answers are decoded. */
+  interface Connection {
+    /** Returns whether a request is in progress whose answer is not complete. */
+    boolean isAnswerAwaited();
+
+    /** Returns whether the answer to the request in progress has no body. */
+    boolean isAnswerBodyless();
+
+    /** Called when bytes have arrived that belong to no answer. */
+    void surplusReceived();
+  }
+
+  private final Connection connection;
+
+  ResponseDecoder(Connection connection) {
     super(HttpLimits.applyTo(new HttpDecoderConfig()));
-    this.bodyless = bodyless;
+    this.connection = connection;
+  }
+
+  /** Decodes at most one message, so the answer's end is known before the bytes that follow it. */
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    if (connection.isAnswerAwaited()) {
+      super.decode(context, buffer, out);
+    } else if (buffer.isReadable()) {
+      buffer.skipBytes(buffer.readableBytes());
+      connection.surplusReceived();
+    }
   }
 
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage answer) {
-    return super.isContentAlwaysEmpty(answer) || bodyless.getAsBoolean();
+    return super.isContentAlwaysEmpty(answer) || connection.isAnswerBodyless();
   }
 
   @Override
