Fail an answer without a length unless its server ended it

Cause: the reset was seen first by a write of the upload. Netty closes the channel then without an exception, and the decoder ends an answer without a length as soon as the channel is inactive.

Ruled out: resets seen by a read, and answers with a length or in chunks; both fail (UnframedAnswerTest, WholeAnswerClientTest).

Fix: client channels allow half-closure; an answer without a length ends only with the event that the server has closed its output. In the same way a failed answer to an HTTP/1.0 caller, which has no other end than that of its connection, is now reset instead of closed.

--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -67,6 +68,25 @@
     close();
   }
 
+  @Override
+  public void inputEnded() {
+    reusable = false;
+  }
+
+  @Override
+  public void inputAborted() {
+    failCurrent(new IOException("the connection was reset"));
+  }
+
+  /** Closes the connection after the answer that its end may have completed. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      failCurrent(new IOException("the connection was closed"));
+      close();
+    }
+  }
+
   /** Returns whether the connection is open and has not been idle for too long. */
   boolean isUsable(long nowNanos) {
     return channel.isActive() && nowNanos - idleSinceNanos < maxIdleNanos;
--- a/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
+++ b/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
@@ -67,6 +67,7 @@
             .group(thread.loop())
             .channel(thread.transport().socketChannelType())
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
     thread
         .transport()
--- a/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -13,6 +14,10 @@
  *
  * <p>Bytes that arrive while no answer is awaited are dropped and reported. Kept in the decoder,
  * they would become the start of the answer to the next request.
+ *
+ * <p>An answer without a length ends with the input of its connection. It is complete only if the
+ * server has closed its sending side; a channel that becomes inactive without that was reset. The
+ * channel must allow half-closure, so that the two can be distinguished.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
   /** The connection whose answers are decoded. */
@@ -25,9 +30,16 @@
 
     /** Called when bytes have arrived that belong to no answer. */
     void surplusReceived();
+
+    /** Called when the server has closed its sending side, before the end of an answer is told. */
+    void inputEnded();
+
+    /** Called when the channel was closed without such an end, as by a reset or a failed write. */
+    void inputAborted();
   }
 
   private final Connection connection;
+  private boolean inputEnded;
 
   ResponseDecoder(Connection connection) {
     super(HttpLimits.applyTo(new HttpDecoderConfig()));
@@ -46,6 +58,23 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+    if (event instanceof ChannelInputShutdownEvent && !inputEnded) {
+      inputEnded = true;
+      connection.inputEnded();
+    }
+    super.userEventTriggered(context, event);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) throws Exception {
+    if (!inputEnded) {
+      connection.inputAborted();
+    }
+    super.channelInactive(context);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage answer) {
     return super.isContentAlwaysEmpty(answer) || connection.isAnswerBodyless();
--- a/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
@@ -70,6 +70,12 @@
     ChannelCalls.close(channel);
   }
 
+  /** Closes the connection so that the caller sees a reset instead of the end of the input. */
+  void reset() {
+    channel.config().setSoLinger(0);
+    ChannelCalls.close(channel);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (lingering) {
--- a/http/src/main/java/dev/arbutusroad/http/ServerExchange.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerExchange.java
@@ -37,6 +37,7 @@
   private boolean ended;
   private boolean answerWritten;
   private boolean closeAfterAnswer;
+  private boolean endsWithConnection;
   private Answer answer;
   private MessageWriter writer;
 
@@ -154,11 +155,12 @@
         HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(connectionHeader(headers));
     boolean hasKnownLength =
         headers.contains(HttpHeaderNames.CONTENT_LENGTH) || isBodylessAnswer(head.status());
+    endsWithConnection = !hasKnownLength && http10;
     if (!hasKnownLength && !http10) {
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
     closeAfterAnswer |=
-        closeRequested || !keepAlive || connection.isDraining() || (!hasKnownLength && http10);
+        closeRequested || !keepAlive || connection.isDraining() || endsWithConnection;
     head.setProtocolVersion(HttpVersion.HTTP_1_1);
     if (closeAfterAnswer) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -201,12 +203,16 @@
 
   /**
    * Closes the connection. The head may have been sent, so this is the only way to tell the caller
-   * that the answer is incomplete.
+   * that the answer is incomplete. An answer that ends with its connection is reset.
    */
   @Override
   public void failed(Throwable cause) {
     writer.discard();
-    ChannelCalls.close(channel);
+    if (endsWithConnection) {
+      connection.reset();
+    } else {
+      connection.close();
+    }
   }
 
   /** Ends the exchange after the last byte of the answer, or closes the channel on failure. */
--- a/http/src/test/java/dev/arbutusroad/http/AnswerReader.java
+++ b/http/src/test/java/dev/arbutusroad/http/AnswerReader.java
@@ -19,6 +19,7 @@
 
   private final EventLoopThread thread;
   private final HttpConnections connections;
+  private volatile int charactersRead;
 
   AnswerReader(Closer closer) {
     thread = closer.register(EventLoopThread.start("client"));
@@ -50,6 +51,11 @@
     return collector.result;
   }
 
+  /** Returns the length of the body of the latest answer, as far as it has been read. */
+  int charactersRead() {
+    return charactersRead;
+  }
+
   /** Returns the event loop that all connections are on. */
   EventLoopThread thread() {
     return thread;
@@ -81,6 +87,7 @@
     @Override
     public void part(ByteBuf part) {
       text.append(part.toString(StandardCharsets.US_ASCII));
+      charactersRead = text.length();
       part.release();
     }
 
--- a/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
@@ -77,6 +77,24 @@
     assertThat(readAll(client)).doesNotContain("\r\n0\r\n\r\n");
   }
 
+  /** The end of such an answer is the end of its connection, so only a reset tells them apart. */
+  @Test
+  void truncatedAnswerWithoutFramingIsReset() throws Exception {
+    Socket client =
+        connect(
+            exchange -> {
+              Body body = new Body(new NoOpSource());
+              exchange.answer(
+                  new Answer(
+                      new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK), body));
+              body.add(Unpooled.copiedBuffer("half", StandardCharsets.US_ASCII));
+              body.flush();
+              body.fail(new IOException("the source broke"));
+            });
+    send(client, "GET / HTTP/1.0\r\n\r\n");
+    assertThatThrownBy(() -> readAll(client)).isInstanceOf(SocketException.class);
+  }
+
   @Test
   void disconnectOfTheCallerEndsTheExchange() throws Exception {
     CountDownLatch ended = new CountDownLatch(1);
