Bound what is read of an answer without end

Cause: the body of an answer that is not passed on was read to its end, and an event loop reads a channel that always has more in up to 64 tasks before it looks at other channels and timers.

Ruled out: bytes without end in a head, a chunk extension or trailers, which the decoder's limits end.

Fix: discarding ends at 64 KiB or 512 parts; a request fails after 16 interim answers; a channel that has read 64 KiB in one turn of the loop pauses for as long as that took, on connections of callers as well. A body of tiny parts pauses its source at 512 parts.

--- a/http/src/main/java/dev/arbutusroad/http/Body.java
+++ b/http/src/main/java/dev/arbutusroad/http/Body.java
@@ -12,12 +12,21 @@
  * The body of an HTTP message, streamed from one source to one sink with back-pressure.
  *
  * <p>Parts are buffered until a sink is attached and ready. The source is paused while more than
- * {@link #MAX_BUFFERED_BYTES} are buffered. Must be used on one event loop only.
+ * {@link #MAX_BUFFERED_BYTES} or {@link #MAX_BUFFERED_PARTS} are buffered. Must be used on one
+ * event loop only.
  */
 public final class Body {
   /** Keeps the network busy while a slow sink catches up. */
   static final int MAX_BUFFERED_BYTES = 64 * 1_024;
 
+  /** Bounds the memory for parts of a few bytes, each of which has a fixed overhead. */
+  static final int MAX_BUFFERED_PARTS = 512;
+
+  /** A longer body that nobody needs costs more to read than a new connection. */
+  static final int MAX_DISCARDED_BYTES = 64 * 1_024;
+
+  static final int MAX_DISCARDED_PARTS = 512;
+
   private static final BodySource NO_SOURCE =
       new BodySource() {
         @Override
@@ -117,13 +126,21 @@
     return sink != null;
   }
 
-  /** Attaches a sink that reads the body and drops it. */
+  /** Attaches a sink that reads and drops the body, and cancels it beyond a limit. */
   public void discard() {
     consume(
         new BodySink() {
+          private int bytes;
+          private int parts;
+
           @Override
           public void part(ByteBuf part) {
+            bytes += part.readableBytes();
+            parts++;
             part.release();
+            if (bytes > MAX_DISCARDED_BYTES || parts > MAX_DISCARDED_PARTS) {
+              cancel();
+            }
           }
 
           @Override
@@ -204,7 +221,8 @@
   }
 
   private void updateSourceReading() {
-    boolean pause = bufferedBytes > MAX_BUFFERED_BYTES && end == null;
+    boolean isFull = bufferedBytes > MAX_BUFFERED_BYTES || buffered.size() > MAX_BUFFERED_PARTS;
+    boolean pause = isFull && end == null;
     if (pause != sourcePaused && !complete) {
       sourcePaused = pause;
       source.setReading(!pause);
--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -18,22 +18,26 @@
     implements BodySource, ResponseDecoder.Connection {
   private final SocketChannel channel;
   private final ConnectionPool pool;
+  private final ReadThrottle throttle;
   private Attempt current;
   private boolean interimAnswer;
+  private int interimAnswers;
   private boolean reusable = true;
   private boolean answerReceived;
   private long idleSinceNanos;
   private long maxIdleNanos;
 
-  ClientConnection(SocketChannel channel, ConnectionPool pool) {
+  ClientConnection(SocketChannel channel, ConnectionPool pool, ReadThrottle throttle) {
     this.channel = channel;
     this.pool = pool;
+    this.throttle = throttle;
     this.maxIdleNanos = ConnectionPool.MAX_IDLE_NANOS;
   }
 
   void send(Attempt attempt) {
     current = attempt;
     answerReceived = false;
+    interimAnswers = 0;
     reusable &= attempt.isKeepAlive();
     attempt.start(this);
   }
@@ -128,6 +132,11 @@
     }
     interimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (interimAnswer) {
+      interimAnswers++;
+      if (interimAnswers > HttpLimits.MAX_INTERIM_ANSWERS) {
+        fail(new IOException("the server sends interim answers without end"));
+        return false;
+      }
       return true;
     }
     reusable &= HttpUtil.isKeepAlive(head);
@@ -177,7 +186,7 @@
     if (answerReceived && reusable && channel.isActive()) {
       answerReceived = false;
       current = null;
-      channel.config().setAutoRead(true);
+      throttle.setReading(true);
       pool.release(this);
     }
   }
@@ -211,7 +220,7 @@
 
   @Override
   public void setReading(boolean reading) {
-    channel.config().setAutoRead(reading);
+    throttle.setReading(reading);
   }
 
   @Override
--- a/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
+++ b/http/src/main/java/dev/arbutusroad/http/ConnectionPool.java
@@ -78,9 +78,12 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
-                ClientConnection connection = new ClientConnection(channel, ConnectionPool.this);
+                ReadThrottle throttle = new ReadThrottle(channel);
+                ClientConnection connection =
+                    new ClientConnection(channel, ConnectionPool.this, throttle);
                 channel
                     .pipeline()
+                    .addLast(throttle)
                     .addLast(new ResponseDecoder(connection))
                     .addLast(new HttpRequestEncoder())
                     .addLast(connection);
--- a/http/src/main/java/dev/arbutusroad/http/HttpLimits.java
+++ b/http/src/main/java/dev/arbutusroad/http/HttpLimits.java
@@ -8,6 +8,9 @@
   static final int MAX_HEADER_BYTES = 64 * 1_024;
   static final int MAX_CHUNK_BYTES = 32 * 1_024;
 
+  /** Interim answers (status 1xx) to one request. */
+  static final int MAX_INTERIM_ANSWERS = 16;
+
   private HttpLimits() {}
 
   /** Sets the limits on the configuration of a decoder. */
--- a/http/src/main/java/dev/arbutusroad/http/HttpListener.java
+++ b/http/src/main/java/dev/arbutusroad/http/HttpListener.java
@@ -64,10 +64,13 @@
   }
 
   private void accept(SocketChannel accepted) {
-    ServerConnection connection = new ServerConnection(accepted, handler, this::connectionClosed);
+    ReadThrottle throttle = new ReadThrottle(accepted);
+    ServerConnection connection =
+        new ServerConnection(accepted, throttle, handler, this::connectionClosed);
     connections.add(connection);
     accepted
         .pipeline()
+        .addLast(throttle)
         .addLast(new RequestDecoder())
         .addLast(new ResponseEncoder(connection::isAnswerBodyless))
         .addLast(connection);
--- a/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
@@ -31,6 +31,7 @@
   private static final int MAX_PIPELINED_MESSAGES = 8;
 
   private final SocketChannel channel;
+  private final ReadThrottle throttle;
   private final ExchangeHandler handler;
   private final Consumer<ServerConnection> closeListener;
   private final Deque<PipelinedMessage> pipelined = new ArrayDeque<>(0);
@@ -39,8 +40,12 @@
   private boolean lingering;
 
   ServerConnection(
-      SocketChannel channel, ExchangeHandler handler, Consumer<ServerConnection> closeListener) {
+      SocketChannel channel,
+      ReadThrottle throttle,
+      ExchangeHandler handler,
+      Consumer<ServerConnection> closeListener) {
     this.channel = channel;
+    this.throttle = throttle;
     this.handler = handler;
     this.closeListener = closeListener;
   }
@@ -150,7 +155,7 @@
   /** Pauses reading if the request in progress is paused or enough pipelined messages wait. */
   void updateAutoRead() {
     boolean paused = current != null && current.isPaused();
-    channel.config().setAutoRead(!paused && pipelined.size() < MAX_PIPELINED_MESSAGES);
+    throttle.setReading(!paused && pipelined.size() < MAX_PIPELINED_MESSAGES);
   }
 
   /**
@@ -160,7 +165,7 @@
    */
   void linger() {
     lingering = true;
-    channel.config().setAutoRead(true);
+    throttle.setReading(true);
     ChannelCalls.shutdownOutput(channel);
     var unused =
         channel
--- a/http/src/test/java/dev/arbutusroad/http/BodyTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/BodyTest.java
@@ -75,6 +75,42 @@
     assertThat(source.events).isEmpty();
   }
 
+  /** Guards against a source that sends without end and keeps the event loop busy. */
+  @Test
+  void discardingEndsAtALimitOfBytes() {
+    Body body = new Body(source);
+    body.discard();
+    for (int bytes = 0; bytes <= Body.MAX_DISCARDED_BYTES; bytes += 1_024) {
+      assertThat(source.events).isEmpty();
+      body.add(part("x".repeat(1_024)));
+    }
+    assertThat(source.events).containsExactly("cancel");
+  }
+
+  @Test
+  void discardingEndsAtALimitOfParts() {
+    Body body = new Body(source);
+    body.discard();
+    for (int parts = 0; parts <= Body.MAX_DISCARDED_PARTS; parts++) {
+      assertThat(source.events).isEmpty();
+      body.add(part("x"));
+    }
+    assertThat(source.events).containsExactly("cancel");
+  }
+
+  /** Guards against a heap filled by the overhead of parts of one byte. */
+  @Test
+  void sourceOfManySmallPartsIsPaused() {
+    Body body = new Body(source);
+    body.consume(sink);
+    body.setReady(false);
+    for (int parts = 0; parts <= Body.MAX_BUFFERED_PARTS; parts++) {
+      assertThat(source.events).isEmpty();
+      body.add(part("x"));
+    }
+    assertThat(source.events).containsExactly("pause");
+  }
+
   private static ByteBuf part(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
   }
