Keep the departure of a target beyond the life of its node

Cause: the departure was in memory only, and a process that has just started took a delayed report "ready" as the first one.

Ruled out: sequence numbers within one process; the health check at the start, which was right but was asked only before the first report.

A first report "ready" of a target that is older than the node's process is applied only after a health check or a second report, and the departure in the table is read then. A departure is final for its start: it is kept before the first report and for a target known by a health check only, and reports that overtake each other don't undo it.

--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnnouncementService.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnouncementService.java
@@ -30,11 +30,10 @@
 
   @Override
   public void handle(Exchange exchange) {
-    LimitedBodyReader.read(
-        exchange, MAX_BODY_BYTES, body -> exchange.answer(answer(exchange, body)));
+    LimitedBodyReader.read(exchange, MAX_BODY_BYTES, body -> handle(exchange, body));
   }
 
-  private Answer answer(Exchange exchange, Optional<String> body) {
+  private void handle(Exchange exchange, Optional<String> body) {
     String path = exchange.request().uri();
     Either<Failure, Announcement> decoded =
         body.map(text -> protocol.read(exchange.request().method().name(), path, text))
@@ -45,15 +44,17 @@
                             ResultCode.BAD_REQUEST, "the announcement exceeds the size limit")));
     if (decoded.isLeft()) {
       Logger.warn("event=announcement_refused path={} reason=\"{}\"", path, decoded.getLeft());
-      return answer(HttpResponseStatus.BAD_REQUEST, "");
+      exchange.answer(answer(HttpResponseStatus.BAD_REQUEST, ""));
+      return;
     }
+    Runnable acknowledgement =
+        () -> exchange.answer(answer(HttpResponseStatus.OK, protocol.acknowledgement()));
     Announcement announcement = decoded.get();
     if (announcement instanceof Announcement.Reported reported) {
-      dataPath.report(reported.report());
+      dataPath.report(reported.report(), acknowledgement);
     } else {
-      dataPath.left(((Announcement.Left) announcement).instance());
+      dataPath.left(((Announcement.Left) announcement).instance(), acknowledgement);
     }
-    return answer(HttpResponseStatus.OK, protocol.acknowledgement());
   }
 
   private static Answer answer(HttpResponseStatus status, String body) {
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -34,6 +34,7 @@
   private final CallTracker tracker = new CallTracker();
   private final Ticker ticker;
   private final TargetListener listener;
+  private final TargetReports reports;
   private final ContextCodec codec;
   private final HttpConnections connections;
   private final TargetSelector targets;
@@ -53,6 +54,8 @@
    * @param members supplies the latest member view
    * @param nodeContext state and callbacks of the rest of the node
    * @param claims claims unrepeatable orders before they run
+   * @param departures keeps the departures of the local target
+   * @param startedMillis the start of the node's process, by the clock of the host
    */
   public DataPath(
       EventLoopThread thread,
@@ -62,6 +65,8 @@
       TargetListener listener,
       NodeContext nodeContext,
       Claims claims,
+      DepartureLog departures,
+      long startedMillis,
       Ticker ticker) {
     this.thread = thread;
     this.options = options;
@@ -72,7 +77,7 @@
     SplittableRandom random = new SplittableRandom(tokens.nextLong());
     answers = new Answers(options.protocol(), new RetryAdvice(random.split()));
     CallLog log = new CallLog(options.log(), ticker);
-    lease = new TargetLease(options.limits().targetLeaseMillis());
+    lease = new TargetLease(options.limits().targetLeaseMillis(), startedMillis);
     codec = new ContextCodec(options.sharedSecret());
     connections =
         new HttpConnections(thread, ticker, (int) options.limits().connectTimeoutMillis());
@@ -108,7 +113,8 @@
             answers,
             log);
     callReclassifier = new CallReclassifier(policies, nodeContext);
-    search = new TargetSearch(options, lease, connections, policies, listener, ticker);
+    reports = new TargetReports(thread, lease, departures, overload, listener, ticker);
+    search = new TargetSearch(options, lease, connections, policies, reports::adopted, ticker);
   }
 
   /** Handles a request on the caller listener, from another node or from a client. */
@@ -192,26 +198,26 @@
     }
   }
 
-  /** Applies a state report of the local target. */
-  public void report(TargetReport report) {
+  /**
+   * Applies a state report of the local target.
+   *
+   * @param acknowledge sends the acknowledgement, once the report is binding
+   */
+  public void report(TargetReport report, Runnable acknowledge) {
     thread.checkInEventLoop();
-    switch (lease.applyReport(report, ticker.nanos())) {
-      case SERVING -> {
-        overload.announceSlots(report.slots());
-        listener.serving(report.service());
-      }
-      case LEAVING -> listener.leaving();
-      case UNCHANGED -> overload.announceSlots(report.slots());
-      case OUTDATED -> {}
+    if (reports.report(report, acknowledge)) {
+      search.restart();
     }
   }
 
-  /** Marks the target with this id as leaving; for a target that did not report it. */
-  public void left(String instance) {
+  /**
+   * Marks the target with this id as leaving; for a target that did not report it.
+   *
+   * @param acknowledge sends the acknowledgement, once the departure is binding
+   */
+  public void left(String instance, Runnable acknowledge) {
     thread.checkInEventLoop();
-    if (lease.endInstance(instance)) {
-      listener.leaving();
-    }
+    reports.left(instance, acknowledge);
   }
 
   /** Marks the local target as leaving: it gets no new calls, those in progress finish. */
--- a/node/src/main/java/dev/arbutusroad/node/datapath/TargetSearch.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetSearch.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.tinylog.Logger;
 
@@ -32,27 +33,38 @@
   private final TargetLease lease;
   private final HttpConnections connections;
   private final Supplier<Optional<PolicyResolver>> policies;
-  private final TargetListener listener;
+  private final Consumer<String> onAdopted;
   private final Ticker ticker;
   private int checksSent;
   private long nextCheckNanos;
 
+  /**
+   * Creates a search that has not sent a check.
+   *
+   * @param onAdopted receives the service of a target that the lease has adopted
+   */
   TargetSearch(
       DataPathOptions options,
       TargetLease lease,
       HttpConnections connections,
       Supplier<Optional<PolicyResolver>> policies,
-      TargetListener listener,
+      Consumer<String> onAdopted,
       Ticker ticker) {
     this.options = options;
     this.lease = lease;
     this.connections = connections;
     this.policies = policies;
-    this.listener = listener;
+    this.onAdopted = onAdopted;
     this.ticker = ticker;
     nextCheckNanos = ticker.nanos();
   }
 
+  /** Checks the target again, as a report that may be outdated says that it serves. */
+  void restart() {
+    checksSent = 0;
+    nextCheckNanos = ticker.nanos();
+  }
+
   /** Sends the next health check if it is due; called every few milliseconds. */
   void tick() {
     boolean isDue =
@@ -99,7 +111,7 @@
               instanceId.orElseThrow(), service, address, Optional.empty(), Optional.empty());
       if (lease.adopt(target, ticker.nanos())) {
         Logger.info("event=target_found target={} check={}", instanceId.orElseThrow(), checksSent);
-        listener.serving(service);
+        onAdopted.accept(service);
       }
     }
 
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -28,7 +28,9 @@
 import dev.arbutusroad.node.datapath.AnnouncementService;
 import dev.arbutusroad.node.datapath.DataPath;
 import dev.arbutusroad.node.datapath.DataPathOptions;
+import dev.arbutusroad.node.datapath.DepartureLog;
 import dev.arbutusroad.node.datapath.ExitService;
+import dev.arbutusroad.node.datapath.TableDepartureLog;
 import dev.arbutusroad.node.log.LineLog;
 import dev.arbutusroad.node.membership.MembershipAgent;
 import dev.arbutusroad.node.membership.MembershipMetrics;
@@ -83,6 +85,7 @@
   private final HttpListener callerListener;
   private final HttpListener exitListener;
   private final Optional<HttpListener> announcementListener;
+  private final long startedMillis = System.currentTimeMillis();
   private volatile Limits limits;
   private volatile boolean closed;
 
@@ -307,6 +310,10 @@
         new TargetAnnouncer(settings.id(), membership),
         new LocalNodeContext(membership, configuration),
         claims,
+        deployment.announcements().isPresent()
+            ? new TableDepartureLog(platform, eventLoop, settings.id())
+            : DepartureLog.none(),
+        startedMillis,
         ticker);
   }
 
--- a/node/src/test/java/dev/arbutusroad/node/datapath/LoopbackNodes.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/LoopbackNodes.java
@@ -116,6 +116,8 @@
             new NoListener(),
             nodeContext,
             claims,
+            DepartureLog.none(),
+            Long.MIN_VALUE,
             Ticker.system());
     HttpListener listener = HttpListener.start(thread, ANY, path::handleCaller);
     paths.add(path);
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
@@ -12,6 +12,7 @@
 
 final class TargetLeaseTest {
   private static final long LEASE_MILLIS = 4_500;
+  private static final long NOW_MILLIS = 1_000;
 
   private final TargetLease lease = new TargetLease(LEASE_MILLIS);
 
@@ -46,8 +47,8 @@
   @Test
   void reportAfterTheTargetHasLeftIsOutdated() {
     report("a", 10, 1, State.READY);
-    assertThat(lease.endInstance("b")).isFalse();
-    assertThat(lease.endInstance("a")).isTrue();
+    assertThat(lease.endInstance("b", NOW_MILLIS)).isFalse();
+    assertThat(lease.endInstance("a", NOW_MILLIS)).isTrue();
     assertThat(report("a", 10, 2, State.READY)).isEqualTo(Change.OUTDATED);
     assertThat(lease.isLeaving()).isTrue();
   }
@@ -60,7 +61,7 @@
             "a", "orders", Addresses.of("127.0.0.1", 1), Optional.empty(), Optional.empty());
     assertThat(lease.isUnknown()).isTrue();
     assertThat(lease.adopt(found, 0)).isTrue();
-    assertThat(lease.endInstance("a")).isTrue();
+    assertThat(lease.endInstance("a", NOW_MILLIS)).isTrue();
     assertThat(lease.isLeaving()).isTrue();
     assertThat(lease.adopt(found, 0)).isFalse();
     assertThat(report("b", 20, 1, State.READY)).isEqualTo(Change.SERVING);
@@ -77,6 +78,76 @@
     assertThat(lease.target()).isEmpty();
   }
 
+  /** Guards against a delayed report that a restarted node takes for the state of its target. */
+  @Test
+  void firstReportOfAnOlderTargetWaitsForAnother() {
+    TargetLease restarted = new TargetLease(LEASE_MILLIS, NOW_MILLIS);
+    TargetReport first = report("a", NOW_MILLIS - 1, 7);
+    assertThat(restarted.applyReport(first, 0)).isEqualTo(Change.UNCONFIRMED);
+    assertThat(restarted.applyReport(first, 0)).isEqualTo(Change.UNCONFIRMED);
+    assertThat(restarted.target()).isEmpty();
+    assertThat(restarted.applyReport(report("a", NOW_MILLIS - 1, 8), 0)).isEqualTo(Change.SERVING);
+  }
+
+  @Test
+  void firstReportOfAnAdoptedOrYoungerTargetIsApplied() {
+    TargetLease restarted = new TargetLease(LEASE_MILLIS, NOW_MILLIS);
+    assertThat(restarted.adopt(target("a"), 0)).isTrue();
+    assertThat(restarted.applyReport(report("a", NOW_MILLIS - 1, 7), 0)).isEqualTo(Change.SERVING);
+    TargetLease other = new TargetLease(LEASE_MILLIS, NOW_MILLIS);
+    assertThat(other.applyReport(report("a", NOW_MILLIS, 1), 0)).isEqualTo(Change.SERVING);
+  }
+
+  /** Guards against a departure that is acknowledged and forgotten by a node that just started. */
+  @Test
+  void departureBeforeTheFirstReportIsKept() {
+    assertThat(lease.endInstance("a", NOW_MILLIS)).isFalse();
+    assertThat(report("a", NOW_MILLIS - 1, 7, State.READY)).isEqualTo(Change.OUTDATED);
+    assertThat(lease.adopt(target("a"), 0)).isFalse();
+    assertThat(report("a", NOW_MILLIS, 1, State.READY)).isEqualTo(Change.SERVING);
+  }
+
+  @Test
+  void departureOfAnAdoptedTargetIsKept() {
+    lease.adopt(target("a"), 0);
+    assertThat(lease.endInstance("a", NOW_MILLIS)).isTrue();
+    assertThat(report("a", NOW_MILLIS - 1, 7, State.READY)).isEqualTo(Change.OUTDATED);
+    assertThat(lease.isLeaving()).isTrue();
+  }
+
+  /** Guards against a departure of which only the process knew that has ended since. */
+  @Test
+  void departureOfAnEarlierProcessIsRestored() {
+    TargetLease restarted = new TargetLease(LEASE_MILLIS, NOW_MILLIS);
+    restarted.applyReport(report("a", 10, 7), 0);
+    restarted.applyReport(report("a", 10, 8), 0);
+    assertThat(restarted.restore(new Departure("b", 10))).isFalse();
+    assertThat(restarted.isLeaving()).isFalse();
+    assertThat(restarted.restore(new Departure("a", 9))).isFalse();
+    assertThat(restarted.restore(new Departure("a", 10))).isTrue();
+    assertThat(restarted.isLeaving()).isTrue();
+    assertThat(restarted.applyReport(report("a", 10, 9), 0)).isEqualTo(Change.OUTDATED);
+  }
+
+  /** Guards against reports that overtake each other on their way to the node. */
+  @Test
+  void leavingIsFinalWhateverTheOrderOfReports() {
+    report("a", 10, 5, State.READY);
+    assertThat(report("a", 10, 4, State.LEAVING)).isEqualTo(Change.LEAVING);
+    assertThat(report("a", 10, 6, State.READY)).isEqualTo(Change.OUTDATED);
+    assertThat(lease.isLeaving()).isTrue();
+  }
+
+  private static LocalTarget target(String instance) {
+    return new LocalTarget(
+        instance, "orders", Addresses.of("127.0.0.1", 1), Optional.empty(), Optional.empty());
+  }
+
+  private static TargetReport report(String instance, long started, long sequence) {
+    return new TargetReport(
+        instance, "orders", Addresses.of("127.0.0.1", 80), started, sequence, State.READY, 1, 0);
+  }
+
   private Change report(String instance, long started, long sequence, State state) {
     return lease.applyReport(
         new TargetReport(
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
@@ -87,7 +87,7 @@
         lease,
         new HttpConnections(thread, ticker, 1_000),
         () -> Optional.of(new HealthPaths()),
-        new ServingListener(),
+        service -> serving.countDown(),
         ticker);
   }
 
@@ -107,17 +107,4 @@
       return Optional.of("/health").filter(path -> service.equals("orders"));
     }
   }
-
-  private final class ServingListener implements TargetListener {
-    @Override
-    public void serving(String service) {
-      serving.countDown();
-    }
-
-    @Override
-    public void leaving() {}
-
-    @Override
-    public void lost() {}
-  }
 }
