--- a/http/src/test/java/dev/arbutusroad/http/AnswerReader.java
+++ b/http/src/test/java/dev/arbutusroad/http/AnswerReader.java
@@ -46,8 +46,13 @@
 
   /** Sends a request; the future is completed at the end of its answer. */
   CompletableFuture<Result> start(InetSocketAddress address, Body body) {
+    return start(address, "/", body);
+  }
+
+  /** Sends a request for a path; the future is completed at the end of its answer. */
+  CompletableFuture<Result> start(InetSocketAddress address, String path, Body body) {
     Collector collector = new Collector();
-    thread.loop().execute(() -> collector.start(address, body));
+    thread.loop().execute(() -> collector.start(address, path, body));
     return collector.result;
   }
 
@@ -67,9 +72,9 @@
     private int status;
     private HttpHeaders headers;
 
-    private void start(InetSocketAddress address, Body body) {
+    private void start(InetSocketAddress address, String path, Body body) {
       connections.send(
-          address, new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"), body, this);
+          address, new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path), body, this);
     }
 
     @Override
