--- a/node/src/test/java/dev/arbutusroad/node/datapath/RawTarget.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/RawTarget.java
@@ -15,12 +15,14 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A target that reads the head of each request and then runs a script that writes raw bytes. */
 final class RawTarget implements AutoCloseable {
   private final ServerSocket server;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<String> heads = new CopyOnWriteArrayList<>();
+  private final AtomicInteger connections = new AtomicInteger();
 
   private RawTarget(ServerSocket server) {
     this.server = server;
@@ -41,10 +43,16 @@
     return heads;
   }
 
+  /** Returns the number of connections that were accepted so far. */
+  int connections() {
+    return connections.get();
+  }
+
   private void accept(Script script) {
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
+        connections.incrementAndGet();
         threads.execute(() -> serve(socket, script));
       } catch (IOException e) {
         return; // closed by the test
@@ -65,6 +73,8 @@
       }
     } catch (IOException e) {
       heads.add("connection lost: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
@@ -100,6 +110,7 @@
   @FunctionalInterface
   interface Script {
     /** Answers a request whose head has been read; returns whether the connection stays open. */
-    boolean answer(String head, InputStream in, OutputStream out) throws IOException;
+    boolean answer(String head, InputStream in, OutputStream out)
+        throws IOException, InterruptedException;
   }
 }
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
@@ -60,6 +60,32 @@
     }
   }
 
+  /** Guards against a departure that is acknowledged while a health check is under way. */
+  @Test
+  void targetThatLeavesDuringAHealthCheckIsNotAdopted() throws Exception {
+    CountDownLatch left = new CountDownLatch(1);
+    RawTarget target =
+        closer.register(
+            RawTarget.start(
+                (request, in, out) -> {
+                  left.await();
+                  RawTarget.write(
+                      out, "HTTP/1.1 200 OK\r\nInstance-Id: i-7\r\ncontent-length: 0\r\n\r\n");
+                  return true;
+                }));
+    TargetSearch search = search(target);
+    while (target.heads().isEmpty()) {
+      thread.loop().submit(search::tick).get();
+    }
+    thread.call(() -> lease.endInstance("i-7", System.currentTimeMillis()));
+    left.countDown();
+    while (target.heads().size() < 4) {
+      thread.loop().submit(search::tick).get();
+    }
+    assertThat(thread.call(lease::target)).isEmpty();
+    assertThat(serving.getCount()).isEqualTo(1);
+  }
+
   private RawTarget targetAnswering(String head) throws IOException {
     return closer.register(
         RawTarget.start(
