Refuse reports that can't be those of the local target

Callers would see: a sound target gets no more calls, or goes on getting them after it has left, because another writer has sent one odd report to its node.

Cause: numbers were checked for their type only. A start or a sequence number beyond 64 bits was cut and made every report of the sound target look outdated; those were acknowledged and ignored. A report for another service did the same. In seed rows, port 0 passed for an address.

Ruled out: deep nesting, ports out of range, other types, rows that are not base64; all were refused or skipped before too, and no process ends.

--- a/node/src/main/java/dev/arbutusroad/node/datapath/AnnouncementService.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/AnnouncementService.java
@@ -41,7 +41,8 @@
                 () ->
                     Either.left(
                         new Failure(
-                            ResultCode.BAD_REQUEST, "the announcement exceeds the size limit")));
+                            ResultCode.BAD_REQUEST, "the announcement exceeds the size limit")))
+            .flatMap(this::reject);
     if (decoded.isLeft()) {
       Logger.warn("event=announcement_refused path={} reason=\"{}\"", path, decoded.getLeft());
       exchange.answer(answer(HttpResponseStatus.BAD_REQUEST, ""));
@@ -57,6 +58,16 @@
     }
   }
 
+  private Either<Failure, Announcement> reject(Announcement announcement) {
+    Optional<Failure> rejection =
+        announcement instanceof Announcement.Reported reported
+            ? dataPath.rejection(reported.report())
+            : Optional.empty();
+    return rejection
+        .<Either<Failure, Announcement>>map(Either::left)
+        .orElseGet(() -> Either.right(announcement));
+  }
+
   private static Answer answer(HttpResponseStatus status, String body) {
     Answer answer =
         Answer.of(status, Unpooled.wrappedBuffer(body.getBytes(StandardCharsets.UTF_8)));
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -113,7 +113,9 @@
             answers,
             log);
     callReclassifier = new CallReclassifier(policies, nodeContext);
-    reports = new TargetReports(thread, lease, departures, overload, listener, ticker);
+    reports =
+        new TargetReports(
+            thread, lease, departures, overload, listener, ticker, options.callerService());
     search = new TargetSearch(options, lease, connections, policies, reports::adopted, ticker);
   }
 
@@ -198,6 +200,11 @@
     }
   }
 
+  /** Returns why a report can't be that of the local target; empty if it can. */
+  Optional<Failure> rejection(TargetReport report) {
+    return reports.rejection(report);
+  }
+
   /**
    * Applies a state report of the local target.
    *
--- a/node/src/main/java/dev/arbutusroad/node/datapath/TargetReports.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetReports.java
@@ -1,6 +1,8 @@
 package dev.arbutusroad.node.datapath;
 
 import dev.arbutusroad.core.edge.TargetReport;
+import dev.arbutusroad.core.result.Failure;
+import dev.arbutusroad.core.result.ResultCode;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.http.EventLoopThread;
 import java.util.Optional;
@@ -14,26 +16,53 @@
   /** Targets call another node if an acknowledgement takes longer than a second. */
   private static final long MAX_RECORD_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** How far the clock of a target on the same host may be ahead, for example while it is set. */
+  private static final long MAX_CLOCK_DIFFERENCE_MILLIS = TimeUnit.MINUTES.toMillis(1);
+
   private final EventLoopThread thread;
   private final TargetLease lease;
   private final DepartureLog departures;
   private final OverloadControl overload;
   private final TargetListener listener;
   private final Ticker ticker;
+  private final Optional<String> expectedService;
 
+  /**
+   * Creates an instance without reports.
+   *
+   * @param expectedService the service of the local target, if it is known from the settings
+   */
   TargetReports(
       EventLoopThread thread,
       TargetLease lease,
       DepartureLog departures,
       OverloadControl overload,
       TargetListener listener,
-      Ticker ticker) {
+      Ticker ticker,
+      Optional<String> expectedService) {
     this.thread = thread;
     this.lease = lease;
     this.departures = departures;
     this.overload = overload;
     this.listener = listener;
     this.ticker = ticker;
+    this.expectedService = expectedService;
+  }
+
+  /**
+   * Returns why a report can't be that of the local target. Applied, it would make the reports of
+   * the local target look outdated.
+   */
+  Optional<Failure> rejection(TargetReport report) {
+    if (expectedService.filter(service -> !service.equals(report.service())).isPresent()) {
+      return Optional.of(
+          new Failure(ResultCode.BAD_REQUEST, "the report names another service than this node"));
+    }
+    if (report.startedMillis() > System.currentTimeMillis() + MAX_CLOCK_DIFFERENCE_MILLIS) {
+      return Optional.of(
+          new Failure(ResultCode.BAD_REQUEST, "the report names a start in the future"));
+    }
+    return Optional.empty();
   }
 
   /**
--- a/node/src/main/java/dev/arbutusroad/node/membership/SeedRows.java
+++ b/node/src/main/java/dev/arbutusroad/node/membership/SeedRows.java
@@ -177,7 +177,10 @@
     }
     try {
       int port = Integer.parseInt(parts[1]);
-      return Optional.of(new InetSocketAddress(InetAddress.getByName(parts[0]), port));
+      // Port 0 is valid for a socket address, but nothing can be sent to it.
+      return port == 0
+          ? Optional.empty()
+          : Optional.of(new InetSocketAddress(InetAddress.getByName(parts[0]), port));
     } catch (UnknownHostException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/node/src/test/java/dev/arbutusroad/node/membership/SeedRowsTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/membership/SeedRowsTest.java
@@ -49,6 +49,33 @@
     assertThat(table.rows.get("seed/south-a/0").value()).isEqualTo("10.1.2.3 7000");
   }
 
+  /** Guards against one row of another writer that keeps a node from reading the others. */
+  @Test
+  void oddRowsDoNotHideTheOthers() {
+    FakeTable table = new FakeTable();
+    String[] odd = {
+      "10.1.2.4 70000",
+      "10.1.2.4 0",
+      "10.1.2.4 -1",
+      "10.1.2.4 99999999999999999999",
+      "10.1.2.4",
+      "host.example 7000",
+      "[".repeat(10_000),
+      ""
+    };
+    for (int i = 0; i < odd.length; i++) {
+      String key = "seed/south-a/odd" + i;
+      table.rows.put(key, new Row(key, odd[i], 1));
+    }
+    table.rows.put("seed/south-b/0", new Row("seed/south-b/0", "10.1.2.5 7000", 1));
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    SeedRows rows = new SeedRows(table, 0, addresses::addAll, Runnable::run);
+
+    rows.step(0, new SingleMemberView(), SELF);
+
+    assertThat(addresses).containsExactly(Addresses.of("10.1.2.5", 7000));
+  }
+
   /** Guards against groups of members that start together and never discover each other. */
   @Test
   void rowsAreReadDuringFormationEvenIfAnotherMemberIsKnown() {
