Do not reuse the connection of a health check

Callers could be told that a call has not run which its target runs, or the call could run at a second target: if a refused health check is repeated late on its connection, the copy carries no id and is taken for the refusal of the next call.

Cause: an answer without an id ends the use of its connection at the gate, but not in the search for the local target.

Ruled out: refusals of calls, with an id or without one (RepeatedRefusalTest passes before and after); a second attempt at the same gate, which the exit never makes.

TargetSearchTest.connectionOfAHealthCheckIsNotReused fails before.

--- a/node/src/main/java/dev/arbutusroad/node/datapath/TargetSearch.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetSearch.java
@@ -99,6 +99,8 @@
 
     @Override
     public void answered(Answer answer) {
+      // The answer identifies no request, so a duplicate could be taken for that of the next one.
+      answer.body().retireConnection();
       answer.body().discard();
       CallProtocol protocol = options.protocol();
       Optional<String> instanceId = protocol.targetId(new MessageHeaderFields(answer.headers()));
--- a/node/src/test/java/dev/arbutusroad/node/datapath/LoopbackNodes.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/LoopbackNodes.java
@@ -2,12 +2,14 @@
 
 import dev.arbutusroad.core.config.CallPolicy;
 import dev.arbutusroad.core.config.PolicyResolver;
+import dev.arbutusroad.core.edge.CallProtocol;
 import dev.arbutusroad.core.fatal.FatalEntry;
 import dev.arbutusroad.core.label.CallAttributes;
 import dev.arbutusroad.core.membership.Member;
 import dev.arbutusroad.core.membership.MemberState;
 import dev.arbutusroad.core.membership.MemberView;
 import dev.arbutusroad.core.net.Addresses;
+import dev.arbutusroad.core.settings.Limits;
 import dev.arbutusroad.core.time.Ticker;
 import dev.arbutusroad.http.EventLoopThread;
 import dev.arbutusroad.http.HttpListener;
@@ -32,6 +34,7 @@
   private final List<Member> members = new ArrayList<>();
   private final CallPolicy policy;
   private final Claims claims;
+  private final CallProtocol protocol;
   private final FakeNodeContext nodeContext = new FakeNodeContext();
   private long revision = 1;
 
@@ -40,8 +43,13 @@
   }
 
   LoopbackNodes(CallPolicy policy, Claims claims) {
+    this(policy, claims, new ArbutusProtocol());
+  }
+
+  LoopbackNodes(CallPolicy policy, Claims claims, CallProtocol protocol) {
     this.policy = policy;
     this.claims = claims;
+    this.protocol = protocol;
   }
 
   static CallPolicy policy(boolean unrepeatable, int retries, long deadlineMillis) {
@@ -106,7 +114,17 @@
   }
 
   private HttpListener listen(String id) throws IOException {
-    DataPathOptions options = new DataPathOptions(id, "muscat", "muscat-a", SECRET);
+    DataPathOptions options =
+        new DataPathOptions(
+            id,
+            "muscat",
+            "muscat-a",
+            SECRET,
+            Limits.defaults(),
+            protocol,
+            Optional.empty(),
+            Optional.empty(),
+            line -> {});
     DataPath path =
         new DataPath(
             thread,
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetSearchTest.java
@@ -86,6 +86,20 @@
     assertThat(serving.getCount()).isEqualTo(1);
   }
 
+  /**
+   * Guards against the answer to a health check that is repeated late on a reused connection: it
+   * carries no id of a request and could be a refusal.
+   */
+  @Test
+  void connectionOfAHealthCheckIsNotReused() throws Exception {
+    RawTarget target = targetAnswering("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n");
+    TargetSearch search = search(target);
+    while (target.heads().size() < 2) {
+      thread.loop().submit(search::tick).get();
+    }
+    assertThat(target.connections()).isEqualTo(2);
+  }
+
   private RawTarget targetAnswering(String head) throws IOException {
     return closer.register(
         RawTarget.start(
