Keep the newest of the reports that may be outdated

A restarted node takes a second report with a higher number for a sign that its target is still there. Of three delayed reports the second and the third could have been taken so, if the second had the lowest number.

TargetLeaseTest.firstReportOfAnOlderTargetWaitsForAnother has the case and fails before.

--- a/node/src/main/java/dev/arbutusroad/node/datapath/TargetLease.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/TargetLease.java
@@ -84,7 +84,7 @@
       return Change.OUTDATED;
     }
     if (!isLeaving && !isConfirmed(report)) {
-      unconfirmed = Optional.of(report);
+      keepUnconfirmed(report);
       return Change.UNCONFIRMED;
     }
     LocalTarget reportedTarget =
@@ -125,6 +125,20 @@
         || isSecond;
   }
 
+  /** Keeps the newest of the reports that may be outdated. */
+  private void keepUnconfirmed(TargetReport report) {
+    boolean isOlder =
+        unconfirmed
+            .filter(
+                newest ->
+                    isSameStart(report, newest.instance(), newest.startedMillis())
+                        && report.sequence() < newest.sequence())
+            .isPresent();
+    if (!isOlder) {
+      unconfirmed = Optional.of(report);
+    }
+  }
+
   private static boolean isSameStart(TargetReport report, String instance, long startedMillis) {
     return report.instance().equals(instance) && report.startedMillis() == startedMillis;
   }
--- a/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/TargetLeaseTest.java
@@ -84,6 +84,8 @@
     TargetLease restarted = new TargetLease(LEASE_MILLIS, NOW_MILLIS);
     TargetReport first = report("a", NOW_MILLIS - 1, 7);
     assertThat(restarted.applyReport(first, 0)).isEqualTo(Change.UNCONFIRMED);
+    assertThat(restarted.applyReport(report("a", NOW_MILLIS - 1, 6), 0))
+        .isEqualTo(Change.UNCONFIRMED);
     assertThat(restarted.applyReport(first, 0)).isEqualTo(Change.UNCONFIRMED);
     assertThat(restarted.target()).isEmpty();
     assertThat(restarted.applyReport(report("a", NOW_MILLIS - 1, 8), 0)).isEqualTo(Change.SERVING);
