--- a/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
@@ -31,10 +31,10 @@
     /** Called when bytes have arrived that belong to no answer. */
     void surplusReceived();
 
-    /** Called when the server has closed its sending side, before the end of an answer is told. */
+    /** Called when the server has closed its output, before an answer that this completes ends. */
     void inputEnded();
 
-    /** Called when the channel was closed without such an end, as by a reset or a failed write. */
+    /** Called when the channel was closed in another way, as by a reset or a failed write. */
     void inputAborted();
   }
 
@@ -46,7 +46,7 @@
     this.connection = connection;
   }
 
-  /** Decodes at most one message, so the answer's end is known before the bytes that follow it. */
+  /** A call decodes at most to the end of a message, so the bytes after it come in another call. */
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws Exception {
--- a/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
@@ -62,17 +62,7 @@
 
   @Test
   void truncatedAnswerHasNoFinalChunk() throws Exception {
-    Socket client =
-        connect(
-            exchange -> {
-              Body body = new Body(new NoOpSource());
-              exchange.answer(
-                  new Answer(
-                      new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK), body));
-              body.add(Unpooled.copiedBuffer("half", StandardCharsets.US_ASCII));
-              body.flush();
-              body.fail(new IOException("the source broke"));
-            });
+    Socket client = connect(ServerConnectionTest::answerHalf);
     send(client, get("/"));
     assertThat(readAll(client)).doesNotContain("\r\n0\r\n\r\n");
   }
@@ -80,21 +70,21 @@
   /** The end of such an answer is the end of its connection, so only a reset tells them apart. */
   @Test
   void truncatedAnswerWithoutFramingIsReset() throws Exception {
-    Socket client =
-        connect(
-            exchange -> {
-              Body body = new Body(new NoOpSource());
-              exchange.answer(
-                  new Answer(
-                      new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK), body));
-              body.add(Unpooled.copiedBuffer("half", StandardCharsets.US_ASCII));
-              body.flush();
-              body.fail(new IOException("the source broke"));
-            });
+    Socket client = connect(ServerConnectionTest::answerHalf);
     send(client, "GET / HTTP/1.0\r\n\r\n");
     assertThatThrownBy(() -> readAll(client)).isInstanceOf(SocketException.class);
   }
 
+  /** Answers without a length, and breaks off. */
+  private static void answerHalf(Exchange exchange) {
+    Body body = new Body(new NoOpSource());
+    exchange.answer(
+        new Answer(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK), body));
+    body.add(Unpooled.copiedBuffer("half", StandardCharsets.US_ASCII));
+    body.flush();
+    body.fail(new IOException("the source broke"));
+  }
+
   @Test
   void disconnectOfTheCallerEndsTheExchange() throws Exception {
     CountDownLatch ended = new CountDownLatch(1);
