--- a/review/standins2/Bed.java
+++ b/review/standins2/Bed.java
@@ -62,6 +62,7 @@
   final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
   final Map<String, Client.Call> calls = new ConcurrentHashMap<>();
   private final BufferedWriter record;
+  private boolean closed;
   final long startMillis = System.currentTimeMillis();
 
   Bed(Path record) throws IOException {
@@ -70,7 +71,7 @@
     store = new Store();
     storePort = store.port;
     this.record = Files.newBufferedWriter(record);
-    Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
   /** Ends the program with a status; 2 if the limit of a script passes before. */
@@ -267,8 +268,13 @@
     }
   }
 
+  /** Ends the processes and deletes their folder; also at the end of the program. */
   @Override
-  public void close() {
+  public synchronized void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
     endProcesses();
     try (var files = Files.walk(folder)) {
       if (System.getenv("KEEP_LOGS") != null) {
