Reject answers whose status line breaks the grammar

What callers saw: a target in trouble sent a head with the status 000. The same held for 0, 99, 600, 2000, 0200, +200 and "2 00", for control characters and blanks before the status line, for tabs or several blanks in it and for control characters in the reason phrase.

Cause: Netty's decoder is lenient. It skips all control characters before a start line, splits the line at any white space, and takes whatever Integer.parseInt reads for a status. Nothing behind it looked at the number.

Ruled out: the adapter, which classifies an answer by its id and its seal and got both; the encoder, which writes the number as it is.

Fix: MessageSyntax checks the bytes of each head against RFC 9112 before they are decoded. An answer that breaks it fails its attempt with a MalformedMessageException and closes its connection. As the same decoder reads the answers of targets, of other nodes and of the store, all are covered. The text of the exception is fixed or the name of a class: the decoder's own texts quote the server, and the text goes into a log line. Recipients may parse a status line on word boundaries (RFC 9112, section 4); a proxy writes the line anew, so two recipients would read it in two ways. Only the blank before an empty reason phrase may be missing.

--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -123,18 +123,20 @@
 
   private boolean receiveHead(HttpResponse head) {
     if (head.decoderResult().isFailure()) {
-      fail(new IOException("the answer is malformed", head.decoderResult().cause()));
+      fail(malformed(head.decoderResult().cause()));
       return false;
     }
     if (MergedHeads.isMerged(head)) {
-      fail(new IOException("the head of the answer contains the start of another answer"));
+      fail(
+          new MalformedMessageException(
+              "the head of the answer contains the start of another answer"));
       return false;
     }
     interimAnswer = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (interimAnswer) {
       interimAnswers++;
       if (interimAnswers > HttpLimits.MAX_INTERIM_ANSWERS) {
-        fail(new IOException("the server sends interim answers without end"));
+        fail(new MalformedMessageException("the server sends interim answers without end"));
         return false;
       }
       return true;
@@ -148,7 +150,7 @@
   private void receivePart(HttpContent part) {
     if (part.decoderResult().isFailure()) {
       part.release();
-      fail(new IOException("the answer is malformed", part.decoderResult().cause()));
+      fail(malformed(part.decoderResult().cause()));
       return;
     }
     boolean last = part instanceof LastHttpContent;
@@ -167,6 +169,14 @@
     }
   }
 
+  /** The texts of the decoder's own exceptions quote the server, so logs must not contain them. */
+  private static MalformedMessageException malformed(Throwable cause) {
+    return cause instanceof MalformedMessageException malformed
+        ? malformed
+        : new MalformedMessageException(
+            "the answer is malformed: " + cause.getClass().getSimpleName(), cause);
+  }
+
   private void fail(IOException cause) {
     Attempt failed = current;
     current = null;
--- /dev/null
+++ b/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
@@ -0,0 +1,54 @@
+package dev.arbutusroad.http;
+
+import io.netty.buffer.ByteBuf;
+
+/** The grammar of the head of a message: a start line, field lines and an empty line. */
+final class HeadSyntax implements PartSyntax {
+  private final StartLine startLine;
+  private boolean started;
+  private boolean ended;
+
+  HeadSyntax(StartLine startLine) {
+    this.startLine = startLine;
+  }
+
+  /** Expects the head of the next message. */
+  void reset() {
+    started = false;
+    ended = false;
+  }
+
+  @Override
+  public int check(ByteBuf buffer, int start) throws MalformedMessageException {
+    int lineStart = start;
+    checkFirstByte(buffer, lineStart);
+    while (!ended) {
+      int lineFeed = buffer.indexOf(lineStart, buffer.writerIndex(), Octets.LINE_FEED);
+      if (lineFeed < 0) {
+        break;
+      }
+      if (lineFeed == lineStart || buffer.getByte(lineFeed - 1) != Octets.CARRIAGE_RETURN) {
+        throw new MalformedMessageException("a line of the head does not end with CRLF");
+      }
+      checkLine(buffer, lineStart, lineFeed - 1);
+      lineStart = lineFeed + 1;
+    }
+    return lineStart;
+  }
+
+  /** Checks the first byte before its line is complete, as the decoder skips control characters. */
+  private void checkFirstByte(ByteBuf buffer, int index) throws MalformedMessageException {
+    if (!started && index < buffer.writerIndex() && !Octets.isToken(buffer.getByte(index))) {
+      throw new MalformedMessageException("the message does not begin with its start line");
+    }
+  }
+
+  private void checkLine(ByteBuf buffer, int start, int end) throws MalformedMessageException {
+    if (!started) {
+      startLine.check(buffer, start, end);
+      started = true;
+    } else if (start == end) {
+      ended = true;
+    }
+  }
+}
--- /dev/null
+++ b/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
@@ -0,0 +1,86 @@
+package dev.arbutusroad.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * Checks the bytes of a connection against the grammar of RFC 9112 before they are decoded. Netty's
+ * decoder accepts more than the grammar: it skips what stands before a start line, takes any number
+ * for a status and cuts a field name at a blank. A message that two recipients read differently
+ * could be taken for another one, so it is rejected as a whole.
+ */
+final class MessageSyntax {
+  /** One step of the decoder, which decodes at most to the end of a message. */
+  @FunctionalInterface
+  interface DecoderStep {
+    void decode() throws Exception;
+  }
+
+  private final HeadSyntax head;
+  private final Supplier<HttpMessage> invalidMessage;
+  private PartSyntax part;
+  private int checkedBytes;
+  private boolean malformed;
+
+  /**
+   * Creates the check of a new connection.
+   *
+   * @param invalidMessage creates the message that reports a malformed head
+   */
+  MessageSyntax(StartLine startLine, Supplier<HttpMessage> invalidMessage) {
+    this.head = new HeadSyntax(startLine);
+    this.invalidMessage = invalidMessage;
+    this.part = head;
+  }
+
+  /**
+   * Runs a step of the decoder, or adds a message that reports a failure. All bytes that follow a
+   * malformed message are dropped.
+   */
+  void decode(ByteBuf buffer, List<Object> out, DecoderStep step) throws Exception {
+    if (!malformed) {
+      try {
+        check(buffer);
+      } catch (MalformedMessageException e) {
+        malformed = true;
+        out.add(failure(e));
+      }
+    }
+    if (malformed) {
+      buffer.skipBytes(buffer.readableBytes());
+      return;
+    }
+    int readableBytes = buffer.readableBytes();
+    step.decode();
+    decoded(readableBytes - buffer.readableBytes(), out);
+  }
+
+  private void check(ByteBuf buffer) throws MalformedMessageException {
+    int start = buffer.readerIndex();
+    checkedBytes = part.check(buffer, start + checkedBytes) - start;
+  }
+
+  private HttpMessage failure(MalformedMessageException cause) {
+    HttpMessage message = invalidMessage.get();
+    message.setDecoderResult(DecoderResult.failure(cause));
+    return message;
+  }
+
+  /** Proceeds to the part of the message that follows what has been decoded. */
+  private void decoded(int bytes, List<Object> messages) {
+    checkedBytes = Math.max(0, checkedBytes - bytes);
+    for (Object message : messages) {
+      if (message instanceof HttpMessage) {
+        part = PartSyntax.UNRESTRICTED;
+      }
+      if (message instanceof LastHttpContent) {
+        head.reset();
+        part = head;
+      }
+    }
+  }
+}
--- a/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
@@ -39,11 +39,13 @@
   }
 
   private final Connection connection;
+  private final MessageSyntax syntax;
   private boolean inputEnded;
 
   ResponseDecoder(Connection connection) {
     super(HttpLimits.applyTo(new HttpDecoderConfig()));
     this.connection = connection;
+    this.syntax = new MessageSyntax(new StatusLine(), this::createInvalidMessage);
   }
 
   /** A call decodes at most to the end of a message, so the bytes after it come in another call. */
@@ -51,7 +53,7 @@
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws Exception {
     if (connection.isAnswerAwaited()) {
-      super.decode(context, buffer, out);
+      syntax.decode(buffer, out, () -> super.decode(context, buffer, out));
     } else if (buffer.isReadable()) {
       buffer.skipBytes(buffer.readableBytes());
       connection.surplusReceived();
--- /dev/null
+++ b/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
@@ -0,0 +1,162 @@
+package dev.arbutusroad.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against bytes that are no answer and are decoded as one, however they are split. */
+final class ResponseDecoderTest {
+  private static final String BODY = "content-length: 2\r\n\r\nab";
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200",
+        "HTTP/1.1 599 \u00fcber\tall",
+        "HTTP/1.0 404 Not Found",
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK",
+      })
+  void validStatusLine(String statusLine) {
+    assertDecoded(statusLine + "\r\n" + BODY);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 0 OK",
+        "HTTP/1.1 99 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK",
+        "HTTP/1.1 1000 OK",
+        "HTTP/1.1 0200 OK",
+        "HTTP/1.1 +200 OK",
+        "HTTP/1.1 -200 OK",
+        "HTTP/1.1 20 0",
+        "HTTP/1.1 2 00",
+        "HTTP/1.1 20x OK",
+        "HTTP/1.1 200OK",
+        "HTTP/1.1 ",
+        "HTTP/1.1",
+      })
+  void statusThatIsNone(String statusLine) {
+    assertMalformed(statusLine + "\r\n" + BODY);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        " HTTP/1.1 200 OK",
+        "\tHTTP/1.1 200 OK",
+        "\0HTTP/1.1 200 OK",
+        "\r\nHTTP/1.1 200 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1\t200 OK",
+        "HTTP/1.1\f200 OK",
+        "HTTP/1.1 200\tOK",
+        "HTTP/1.1 200\u000bOK",
+        "HTTP/1.1 200 O\0K",
+        "HTTP/1.1 200 O\u0001K",
+        "HTTP/1.1 200 O\u007fK",
+        "HTTP/1.1 200 O\rK",
+        "HTTP/1.1 200 OK\r",
+        "http/1.1 200 OK",
+        "HTTP/01.1 200 OK",
+        "HTTP/1.10 200 OK",
+        "HTTP/11 200 OK",
+        "FTPP/1.1 200 OK",
+        "200 OK",
+      })
+  void statusLineThatIsNone(String statusLine) {
+    assertMalformed(statusLine + "\r\n" + BODY);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\ncontent-length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\n\r\nab",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\nab",
+        "HTTP/1.1 200 OK\r\r\ncontent-length: 2\r\n\r\nab",
+      })
+  void lineThatDoesNotEndWithCrlf(String answer) {
+    assertMalformed(answer);
+  }
+
+  private static void assertDecoded(String bytes) {
+    for (int cut = 0; cut < bytes.length(); cut++) {
+      assertThat(failure(bytes, cut)).as("cut at %d", cut).isEmpty();
+    }
+  }
+
+  private static void assertMalformed(String bytes) {
+    for (int cut = 0; cut < bytes.length(); cut++) {
+      assertThat(failure(bytes, cut)).as("cut at %d", cut).isPresent();
+    }
+  }
+
+  /**
+   * Decodes bytes that arrive in two pieces.
+   *
+   * @return the cause of the first failure; empty if a whole answer was decoded
+   */
+  private static Optional<Throwable> failure(String bytes, int cut) {
+    EmbeddedChannel channel = new EmbeddedChannel(new ResponseDecoder(new AwaitingConnection()));
+    receive(channel, bytes.substring(0, cut));
+    receive(channel, bytes.substring(cut));
+    boolean complete = false;
+    Optional<Throwable> failure = Optional.empty();
+    for (HttpObject part = channel.readInbound(); part != null; part = channel.readInbound()) {
+      DecoderResult result = part.decoderResult();
+      if (result.isFailure() && failure.isEmpty()) {
+        failure = Optional.of(result.cause());
+      }
+      complete |= part instanceof LastHttpContent;
+      if (part instanceof HttpContent content) {
+        content.release();
+      }
+    }
+    channel.finishAndReleaseAll();
+    assertThat(complete || failure.isPresent()).as("the answer has an end").isTrue();
+    return failure;
+  }
+
+  private static void receive(EmbeddedChannel channel, String bytes) {
+    channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+  }
+
+  /** A connection whose answer is always awaited. */
+  private static final class AwaitingConnection implements ResponseDecoder.Connection {
+    @Override
+    public boolean isAnswerAwaited() {
+      return true;
+    }
+
+    @Override
+    public boolean isAnswerBodyless() {
+      return false;
+    }
+
+    @Override
+    public void surplusReceived() {}
+
+    @Override
+    public void inputEnded() {}
+
+    @Override
+    public void inputAborted() {}
+  }
+}
--- /dev/null
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
@@ -0,0 +1,108 @@
+package dev.arbutusroad.node.datapath;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import dev.arbutusroad.core.resource.Closer;
+import dev.arbutusroad.node.claim.NoClaims;
+import dev.arbutusroad.platform.PlatformCallProtocol;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against bytes of a target that are no answer and reach the client as one. */
+@Timeout(60)
+final class MalformedAnswerTest {
+  private static final String BODY = "bytes of the target";
+  private static final Pattern REQUEST_ID = Pattern.compile("(?i)request-id: ([^\\r]+)");
+
+  private final Closer closer = new Closer();
+
+  @AfterEach
+  void close() throws IOException {
+    closer.close();
+  }
+
+  @Test
+  void wellFormedAnswerIsForwarded() throws Exception {
+    String received = receive("HTTP/1.1 200 OK\r\n%s\r\n");
+    assertThat(received).startsWith("HTTP/1.1 200 ").endsWith(BODY);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 0 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 600 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 0200 OK",
+        "HTTP/1.1 +200 OK",
+        "HTTP/1.1 2 00 OK",
+      })
+  void answerWithoutAValidStatusIsNotForwarded(String statusLine) throws Exception {
+    assertNotForwarded(statusLine + "\r\n%s\r\n");
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        " HTTP/1.1 200 OK",
+        "\r\nHTTP/1.1 200 OK",
+        "\0HTTP/1.1 200 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.1\t200 OK",
+        "HTTP/1.1 200\u000bOK",
+        "HTTP/1.1 200 O\u0001K",
+        "http/1.1 200 OK",
+      })
+  void answerWithoutAStatusLineIsNotForwarded(String statusLine) throws Exception {
+    assertNotForwarded(statusLine + "\r\n%s\r\n");
+  }
+
+  private void assertNotForwarded(String head) throws Exception {
+    assertThat(receive(head)).startsWith("HTTP/1.1 502 ").doesNotContain(BODY);
+  }
+
+  /**
+   * Returns all bytes that a client receives if the target's answer has the given head.
+   *
+   * @param head the head, with a placeholder for the id of the request, the seal and the length
+   */
+  private String receive(String head) throws Exception {
+    RawTarget target =
+        closer.register(
+            RawTarget.start(
+                (request, in, out) -> {
+                  Matcher id = REQUEST_ID.matcher(request);
+                  assertThat(id.find()).as(request).isTrue();
+                  String fields =
+                      "Request-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n"
+                          .formatted(id.group(1), BODY.length());
+                  RawTarget.write(out, head.formatted(fields) + BODY);
+                  return true;
+                }));
+    LoopbackNodes nodes =
+        closer.register(
+            new LoopbackNodes(
+                LoopbackNodes.policy(false, 0, 20_000),
+                new NoClaims(),
+                new PlatformCallProtocol()));
+    nodes.serving("orders", target.address());
+    InetSocketAddress entry = nodes.entry();
+    try (Socket client = new Socket(entry.getAddress(), entry.getPort())) {
+      RawTarget.write(
+          client.getOutputStream(),
+          "GET / HTTP/1.1\r\nHost: orders\r\nRequest-Id: r1\r\nConnection: close\r\n\r\n");
+      return new String(client.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+}
