Reject answers with a blank in the name of a field

What callers saw: a head with "Foo bar: 1", "Foo : 1" or a tab in these places was taken as an answer. A line that begins with a blank was joined to the value of the field before it, for example to the seal.

Cause: of an answer, Netty's decoder takes all before the first blank for the name and drops the rest up to the colon. It does so for answers only: RFC 9112, section 5.1, wants a proxy to remove a blank before the colon. A blank within a name is no field at all.

Ruled out: control characters other than the tab, characters outside ASCII, missing colons and empty names; the decoder rejects these already, and the tests keep it so. Control characters in values: rejected already.

Fix: HeadSyntax checks that each field line begins with a token and a colon. A blank before the colon fails the answer too, as no sound server writes one and what it meant is unknown. So does a line that continues another: RFC 9112, section 5.2, allows a proxy to discard such an answer.

--- a/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
@@ -49,6 +49,19 @@
       started = true;
     } else if (start == end) {
       ended = true;
+    } else {
+      checkFieldLine(buffer, start, end);
+    }
+  }
+
+  /**
+   * Checks that a line begins with a name and a colon; the decoder checks the value. A line that
+   * continues the one before it is obsolete (RFC 9112, section 5.2) and not accepted either.
+   */
+  static void checkFieldLine(ByteBuf buffer, int start, int end) throws MalformedMessageException {
+    int nameEnd = buffer.forEachByte(start, end - start, Octets.TOKEN);
+    if (nameEnd <= start || buffer.getByte(nameEnd) != ':') {
+      throw new MalformedMessageException("a field line does not begin with a name and a colon");
     }
   }
 }
--- a/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
@@ -96,6 +96,65 @@
     assertMalformed(answer);
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "foo: 1",
+        "foo:1",
+        "foo:",
+        "foo: \t 1 \t",
+        "!#$%&'*+-.^_`|~09azAZ: 1",
+        "foo: bar: baz",
+        "foo: \u00fc\t\"(,)\"",
+      })
+  void validField(String line) {
+    assertDecoded("HTTP/1.1 200 OK\r\n" + line + "\r\n" + BODY);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "foo bar: 1",
+        "foo\tbar: 1",
+        "foo : 1",
+        "foo\t: 1",
+        " foo: 1",
+        "\tfoo: 1",
+        "\0foo: 1",
+        "fo\u0001o: 1",
+        "foo\u000b: 1",
+        "foo\f: 1",
+        "foo\r: 1",
+        "foo\u007f: 1",
+        "fo\u00e9: 1",
+        "fo\"o: 1",
+        "f(o)o: 1",
+        "foo",
+        " ",
+        ": 1",
+        "content-length : 2",
+        "content-length x: 5",
+      })
+  void fieldNameThatIsNoToken(String line) {
+    assertMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\n" + BODY);
+    assertMalformed("HTTP/1.1 200 OK\r\nfirst: 1\r\n" + line + "\r\n" + BODY);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "foo: a\0b",
+        "foo: a\u0001b",
+        "foo: a\rb",
+        "foo: a\u007fb",
+        "foo: a\u000b",
+        "foo: \f1",
+        "foo: 1\r",
+      })
+  void controlCharacterInAFieldValue(String line) {
+    assertMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\n" + BODY);
+  }
+
   private static void assertDecoded(String bytes) {
     for (int cut = 0; cut < bytes.length(); cut++) {
       assertThat(failure(bytes, cut)).as("cut at %d", cut).isEmpty();
--- a/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
@@ -68,6 +68,34 @@
     assertNotForwarded(statusLine + "\r\n%s\r\n");
   }
 
+  /** The line stands before and after the id, the seal and the length of the answer. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Foo bar: 1",
+        "Foo\tbar: 1",
+        "Foo : 1",
+        "Foo\t: 1",
+        " Foo: 1",
+        "\tFoo: 1",
+        "Foo\u0001: 1",
+        "Fo\0o: 1",
+        "\u000bFoo: 1",
+        "Foo\u007f: 1",
+        "Foo\r: 1",
+        "F(o)o: 1",
+        "Fo\u00e9: 1",
+        "Foo",
+        ": 1",
+        " : 1",
+        "Server-Seal : other",
+        "Content-Length x: 5",
+      })
+  void answerWithAMalformedFieldNameIsNotForwarded(String line) throws Exception {
+    assertNotForwarded("HTTP/1.1 200 OK\r\n" + line + "\r\n%s\r\n");
+    assertNotForwarded("HTTP/1.1 200 OK\r\n%s" + line + "\r\n\r\n");
+  }
+
   private void assertNotForwarded(String head) throws Exception {
     assertThat(receive(head)).startsWith("HTTP/1.1 502 ").doesNotContain(BODY);
   }
