Reject answers whose fields don't state where the body ends

What callers saw: "Transfer-Encoding: gzip, chunked" and "chunked, gzip" were read as chunks, and the coded bytes went on as the body, without the field that named the coding. "gzip" or "xchunked" without a length were read to the end of the connection, in the same way.

Cause: the decoder looks for "chunked" among the codings and ignores the others; of HTTP/1.0 it keeps only the first length, so that nothing behind it can see the second.

Ruled out: a length that is no number, two lengths in HTTP/1.1, a length beside chunks. These were rejected, and the tests keep it so.

Proxies may not guess here (RFC 9112, section 6.3): whoever reads the answer behind them could guess otherwise.

--- a/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
@@ -74,8 +74,8 @@
   private void decoded(int bytes, List<Object> messages) {
     checkedBytes = Math.max(0, checkedBytes - bytes);
     for (Object message : messages) {
-      if (message instanceof HttpMessage) {
-        part = PartSyntax.UNRESTRICTED;
+      if (message instanceof HttpMessage decodedHead) {
+        beginBody(decodedHead);
       }
       if (message instanceof LastHttpContent) {
         head.reset();
@@ -83,4 +83,16 @@
       }
     }
   }
+
+  private void beginBody(HttpMessage decodedHead) {
+    part = PartSyntax.UNRESTRICTED;
+    if (decodedHead.decoderResult().isSuccess()) {
+      try {
+        Framing.check(decodedHead);
+      } catch (MalformedMessageException e) {
+        malformed = true;
+        decodedHead.setDecoderResult(DecoderResult.failure(e));
+      }
+    }
+  }
 }
--- a/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
@@ -10,12 +10,14 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against bytes that are no answer and are decoded as one, however they are split. */
 final class ResponseDecoderTest {
   private static final String BODY = "content-length: 2\r\n\r\nab";
+  private static final String CHUNKS = "2\r\nab\r\n0\r\n\r\n";
 
   @ParameterizedTest
   @ValueSource(
@@ -155,6 +157,61 @@
     assertMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\n" + BODY);
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"chunked", "Chunked", ",chunked, ", "\tchunked\t"})
+  void chunkedBody(String transferEncoding) {
+    assertDecoded(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: " + transferEncoding + "\r\n\r\n" + CHUNKS);
+  }
+
+  /** The decoder knows only chunks: other codings would be passed on as the body. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "gzip",
+        "identity",
+        "xchunked",
+        "chunked;q=1",
+        "gzip, chunked",
+        "chunked, gzip",
+        "chunked, chunked",
+        "chunked\r\ntransfer-encoding: chunked",
+        "chunked\r\ntransfer-encoding: gzip",
+        "chunked\r\ncontent-length: 2",
+        "gzip\r\ncontent-length: 2",
+      })
+  void transferCodingsThatAreNotSupported(String fields) {
+    assertMalformed("HTTP/1.1 200 OK\r\ntransfer-encoding: " + fields + "\r\n\r\n" + CHUNKS);
+  }
+
+  /** HTTP/1.0 has no transfer codings (RFC 9112, section 6.1). */
+  @Test
+  void transferCodingOfHttp10() {
+    assertMalformed("HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + CHUNKS);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "+2",
+        "-2",
+        "0x2",
+        "2 2",
+        "2.0",
+        "2a",
+        "99999999999999999999",
+        "2, 2",
+        "2, 3",
+        "2\r\ncontent-length: 2",
+        "2\r\nContent-Length: 3",
+      })
+  void lengthThatIsNone(String value) {
+    assertMalformed("HTTP/1.1 200 OK\r\ncontent-length: " + value + "\r\n\r\nab");
+    assertMalformed("HTTP/1.0 200 OK\r\ncontent-length: " + value + "\r\n\r\nab");
+  }
+
   private static void assertDecoded(String bytes) {
     for (int cut = 0; cut < bytes.length(); cut++) {
       assertThat(failure(bytes, cut)).as("cut at %d", cut).isEmpty();
