Fail answers whose chunks or trailers break the grammar

What callers saw: a chunk of 0x100000002 bytes was read as one of two, and the answer ended there as a complete success.

Cause: the decoder computes a size in 32 bits and sees an overflow only if the result is negative. It stops at the first blank or control character behind the digits, and reads trailers like fields of a head.

Ruled out: chunks that are longer than their size, bare line feeds, signs and other prefixes; they were rejected, and the tests keep it so.

Fix: ChunkedBodySyntax checks size lines, the end of each chunk and the trailers by RFC 9112, section 7.1, ahead of the decoder. A chunk of 2 GiB or more fails the answer, as it did where the decoder saw the overflow. The head of such an answer has gone on by then, so its client sees that the end is missing.

--- a/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
@@ -27,15 +27,12 @@
     int lineStart = start;
     checkFirstByte(buffer, lineStart);
     while (!ended) {
-      int lineFeed = buffer.indexOf(lineStart, buffer.writerIndex(), Octets.LINE_FEED);
-      if (lineFeed < 0) {
+      int lineEnd = Lines.findEnd(buffer, lineStart);
+      if (lineEnd < 0) {
         break;
       }
-      if (lineFeed == lineStart || buffer.getByte(lineFeed - 1) != Octets.CARRIAGE_RETURN) {
-        throw new MalformedMessageException("a line of the head does not end with CRLF");
-      }
-      checkLine(buffer, lineStart, lineFeed - 1);
-      lineStart = lineFeed + 1;
+      checkLine(buffer, lineStart, lineEnd);
+      lineStart = lineEnd + Lines.CRLF_LENGTH;
     }
     return lineStart;
   }
--- a/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
@@ -2,7 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import java.util.function.Supplier;
@@ -10,8 +13,8 @@
 /**
  * Checks the bytes of a connection against the grammar of RFC 9112 before they are decoded. Netty's
  * decoder accepts more than the grammar: it skips what stands before a start line, takes any number
- * for a status and cuts a field name at a blank. A message that two recipients read differently
- * could be taken for another one, so it is rejected as a whole.
+ * for a status, cuts a field name at a blank and a chunk size at the 32nd bit. A message that two
+ * recipients read differently could be taken for another one, so it is rejected as a whole.
  */
 final class MessageSyntax {
   /** One step of the decoder, which decodes at most to the end of a message. */
@@ -22,6 +25,7 @@
 
   private final HeadSyntax head;
   private final Supplier<HttpMessage> invalidMessage;
+  private final ChunkedBodySyntax chunkedBody = new ChunkedBodySyntax();
   private PartSyntax part;
   private int checkedBytes;
   private boolean malformed;
@@ -64,8 +68,8 @@
     checkedBytes = part.check(buffer, start + checkedBytes) - start;
   }
 
-  private HttpMessage failure(MalformedMessageException cause) {
-    HttpMessage message = invalidMessage.get();
+  private HttpObject failure(MalformedMessageException cause) {
+    HttpObject message = part == head ? invalidMessage.get() : new DefaultLastHttpContent();
     message.setDecoderResult(DecoderResult.failure(cause));
     return message;
   }
@@ -85,7 +89,8 @@
   }
 
   private void beginBody(HttpMessage decodedHead) {
-    part = PartSyntax.UNRESTRICTED;
+    chunkedBody.reset();
+    part = HttpUtil.isTransferEncodingChunked(decodedHead) ? chunkedBody : PartSyntax.UNRESTRICTED;
     if (decodedHead.decoderResult().isSuccess()) {
       try {
         Framing.check(decodedHead);
--- a/http/src/main/java/dev/arbutusroad/http/Octets.java
+++ b/http/src/main/java/dev/arbutusroad/http/Octets.java
@@ -17,6 +17,7 @@
   /** Stops at the first control character other than a tab. */
   static final ByteProcessor TEXT = Octets::isText;
 
+  private static final int HEX_RADIX = 16;
   private static final byte DELETE = 0x7f;
   private static final byte[] VERSION_PREFIX = "HTTP/".getBytes(StandardCharsets.US_ASCII);
   private static final int VERSION_LENGTH = "HTTP/1.1".length();
@@ -43,6 +44,16 @@
     return octet < 0 || (octet >= SPACE && octet != DELETE) || octet == TAB;
   }
 
+  /** Returns whether a byte is a blank or a tab. */
+  static boolean isBlank(byte octet) {
+    return octet == SPACE || octet == TAB;
+  }
+
+  /** Returns the value of a hexadecimal digit, or -1 if the byte is none. */
+  static int hexDigit(byte octet) {
+    return Character.digit(octet, HEX_RADIX);
+  }
+
   static boolean isDigit(byte octet) {
     return octet >= '0' && octet <= '9';
   }
--- a/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
@@ -17,6 +17,8 @@
 /** Guards against bytes that are no answer and are decoded as one, however they are split. */
 final class ResponseDecoderTest {
   private static final String BODY = "content-length: 2\r\n\r\nab";
+  private static final String CHUNKED_HEAD =
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
   private static final String CHUNKS = "2\r\nab\r\n0\r\n\r\n";
 
   @ParameterizedTest
@@ -212,6 +214,65 @@
     assertMalformed("HTTP/1.0 200 OK\r\ncontent-length: " + value + "\r\n\r\nab");
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "2\r\nab\r\n0\r\n\r\n",
+        "02\r\nab\r\n000\r\n\r\n",
+        "A\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n",
+        "2;name\r\nab\r\n0;x=y\r\n\r\n",
+        "2 ; name = \"a value\"\r\nab\r\n0\r\n\r\n",
+        "2\r\nab\r\n0\r\nfoo: 1\r\nbar: 2\r\n\r\n",
+        "2\r\n\r\n\r\n0\r\n\r\n",
+      })
+  void validChunks(String body) {
+    assertDecoded(CHUNKED_HEAD + body);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "2 x\r\nab\r\n0\r\n\r\n",
+        "2 \r\nab\r\n0\r\n\r\n",
+        " 2\r\nab\r\n0\r\n\r\n",
+        "2\0x\r\nab\r\n0\r\n\r\n",
+        "2\t\r\nab\r\n0\r\n\r\n",
+        "2;\0\r\nab\r\n0\r\n\r\n",
+        "2;a\rb\r\nab\r\n0\r\n\r\n",
+        "+2\r\nab\r\n0\r\n\r\n",
+        "0x2\r\nab\r\n0\r\n\r\n",
+        "-2\r\nab\r\n0\r\n\r\n",
+        ";x\r\nab\r\n0\r\n\r\n",
+        "\r\nab\r\n0\r\n\r\n",
+        "2\nab\r\n0\r\n\r\n",
+        "2\r\nab\n0\r\n\r\n",
+        "2\r\nabc\r\n0\r\n\r\n",
+        "2\r\nab\r\n\r\n0\r\n\r\n",
+        "2\r\nab\r\n0 x\r\n\r\n",
+        "100000002\r\nab\r\n0\r\n\r\n",
+        "10000000000000002\r\nab\r\n0\r\n\r\n",
+      })
+  void malformedChunks(String body) {
+    assertMalformed(CHUNKED_HEAD + body);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "foo bar: 1",
+        "foo : 1",
+        "foo\t: 1",
+        " foo: 1",
+        "foo",
+        ": 1",
+        "fo\u0001o: 1",
+        "foo: a\0b"
+      })
+  void malformedTrailer(String line) {
+    assertMalformed(CHUNKED_HEAD + "2\r\nab\r\n0\r\n" + line + "\r\n\r\n");
+    assertMalformed(CHUNKED_HEAD + "2\r\nab\r\n0\r\nfirst: 1\r\n" + line + "\r\n\r\n");
+  }
+
   private static void assertDecoded(String bytes) {
     for (int cut = 0; cut < bytes.length(); cut++) {
       assertThat(failure(bytes, cut)).as("cut at %d", cut).isEmpty();
--- a/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
@@ -32,7 +32,7 @@
 
   @Test
   void wellFormedAnswerIsForwarded() throws Exception {
-    String received = receive("HTTP/1.1 200 OK\r\n%s\r\n");
+    String received = receiveWithLength("HTTP/1.1 200 OK\r\n%s\r\n");
     assertThat(received).startsWith("HTTP/1.1 200 ").endsWith(BODY);
   }
 
@@ -96,26 +96,41 @@
     assertNotForwarded("HTTP/1.1 200 OK\r\n%s" + line + "\r\n\r\n");
   }
 
+  /** The head of such an answer has gone on, so only its missing end shows that it is broken. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "100000002\r\nab\r\n0\r\n\r\n",
+        "2 x\r\nab\r\n0\r\n\r\n",
+        "2\r\nab\r\n0\r\nFoo bar: 1\r\n\r\n",
+      })
+  void answerWithMalformedChunksIsNotComplete(String chunks) throws Exception {
+    String received = receive("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    assertThat(received).doesNotEndWith("0\r\n\r\n");
+  }
+
   private void assertNotForwarded(String head) throws Exception {
-    assertThat(receive(head)).startsWith("HTTP/1.1 502 ").doesNotContain(BODY);
+    assertThat(receiveWithLength(head)).startsWith("HTTP/1.1 502 ").doesNotContain(BODY);
+  }
+
+  private String receiveWithLength(String head) throws Exception {
+    return receive(head.formatted("%sContent-Length: " + BODY.length() + "\r\n") + BODY);
   }
 
   /**
-   * Returns all bytes that a client receives if the target's answer has the given head.
+   * Returns all bytes that a client receives if the target sends an answer.
    *
-   * @param head the head, with a placeholder for the id of the request, the seal and the length
+   * @param answer the answer, with a placeholder for the id of the request and the seal
    */
-  private String receive(String head) throws Exception {
+  private String receive(String answer) throws Exception {
     RawTarget target =
         closer.register(
             RawTarget.start(
                 (request, in, out) -> {
                   Matcher id = REQUEST_ID.matcher(request);
                   assertThat(id.find()).as(request).isTrue();
-                  String fields =
-                      "Request-Id: %s\r\nServer-Seal: s\r\nContent-Length: %d\r\n"
-                          .formatted(id.group(1), BODY.length());
-                  RawTarget.write(out, head.formatted(fields) + BODY);
+                  String fields = "Request-Id: " + id.group(1) + "\r\nServer-Seal: s\r\n";
+                  RawTarget.write(out, answer.formatted(fields));
                   return true;
                 }));
     LoopbackNodes nodes =
