Fail answers that switch to another protocol

What callers saw: a target in trouble that sent a head with the status 101 and then bytes without end made the node that called it keep them all.

Cause: behind a 101 Netty's decoder passes all bytes on as they are, for another handler that would speak the new protocol. There is none: the connection takes a 1xx for an interim answer and has no use for a plain buffer, so nothing released it. A node never asks for another protocol, as it drops "upgrade" from requests.

Ruled out: interim answers without end are bounded by their number, a body that nobody reads by back-pressure.

Fix: the decoder of answers takes a 101 for malformed, which fails the request and closes the connection. What was decoded behind a malformed head is dropped, so that no part of an answer follows its failure.

--- a/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import java.util.function.Supplier;
 
@@ -23,7 +24,14 @@
     void decode() throws Exception;
   }
 
+  /** Checks what the fields of a decoded head state together. */
+  @FunctionalInterface
+  interface HeadCheck {
+    void check(HttpMessage head) throws MalformedMessageException;
+  }
+
   private final HeadSyntax head;
+  private final HeadCheck headCheck;
   private final Supplier<HttpMessage> invalidMessage;
   private final ChunkedBodySyntax chunkedBody = new ChunkedBodySyntax();
   private PartSyntax part;
@@ -35,8 +43,9 @@
    *
    * @param invalidMessage creates the message that reports a malformed head
    */
-  MessageSyntax(StartLine startLine, Supplier<HttpMessage> invalidMessage) {
+  MessageSyntax(StartLine startLine, HeadCheck headCheck, Supplier<HttpMessage> invalidMessage) {
     this.head = new HeadSyntax(startLine);
+    this.headCheck = headCheck;
     this.invalidMessage = invalidMessage;
     this.part = head;
   }
@@ -77,11 +86,15 @@
   /** Proceeds to the part of the message that follows what has been decoded. */
   private void decoded(int bytes, List<Object> messages) {
     checkedBytes = Math.max(0, checkedBytes - bytes);
-    for (Object message : messages) {
+    for (int i = 0; i < messages.size() && !malformed; i++) {
+      HttpObject message = (HttpObject) messages.get(i);
       if (message instanceof HttpMessage decodedHead) {
         beginBody(decodedHead);
       }
-      if (message instanceof LastHttpContent) {
+      if (message.decoderResult().isFailure()) {
+        malformed = true;
+        drop(messages.subList(i + 1, messages.size()));
+      } else if (message instanceof LastHttpContent) {
         head.reset();
         part = head;
       }
@@ -93,11 +106,15 @@
     part = HttpUtil.isTransferEncodingChunked(decodedHead) ? chunkedBody : PartSyntax.UNRESTRICTED;
     if (decodedHead.decoderResult().isSuccess()) {
       try {
-        Framing.check(decodedHead);
+        headCheck.check(decodedHead);
       } catch (MalformedMessageException e) {
-        malformed = true;
         decodedHead.setDecoderResult(DecoderResult.failure(e));
       }
     }
   }
+
+  private static void drop(List<Object> messages) {
+    messages.forEach(ReferenceCountUtil::release);
+    messages.clear();
+  }
 }
--- a/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
@@ -5,7 +5,9 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 
 /**
@@ -45,7 +47,19 @@
   ResponseDecoder(Connection connection) {
     super(HttpLimits.applyTo(new HttpDecoderConfig()));
     this.connection = connection;
-    this.syntax = new MessageSyntax(new StatusLine(), this::createInvalidMessage);
+    this.syntax =
+        new MessageSyntax(new StatusLine(), ResponseDecoder::checkHead, this::createInvalidMessage);
+  }
+
+  /**
+   * Checks the framing of an answer, and that it does not switch to another protocol: no request
+   * asks for that, and the decoder would pass on all further bytes as they are.
+   */
+  private static void checkHead(HttpMessage head) throws MalformedMessageException {
+    if (((HttpResponse) head).status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+      throw new MalformedMessageException("the server switches to another protocol");
+    }
+    Framing.check(head);
   }
 
   /** A call decodes at most to the end of a message, so the bytes after it come in another call. */
--- a/http/src/test/java/dev/arbutusroad/http/EndlessAnswerTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/EndlessAnswerTest.java
@@ -72,6 +72,18 @@
     }
   }
 
+  /** No part of an answer follows such a head, so nothing would consume and release the bytes. */
+  @Test
+  void switchOfProtocolsFailsTheRequest() throws Exception {
+    RawServer server =
+        closer.register(
+            new RawServer(
+                (number, out) ->
+                    writeForever(out, "HTTP/1.1 101 Switching Protocols\r\n\r\n", "no answer")));
+    assertThat(client.get(server.address()).failure())
+        .hasMessageContaining("switches to another protocol");
+  }
+
   private static void writeForever(OutputStream out, String head, String repeated)
       throws IOException {
     RawServer.write(out, head);
--- a/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ResponseDecoderTest.java
@@ -187,6 +187,12 @@
     assertMalformed("HTTP/1.1 200 OK\r\ntransfer-encoding: " + fields + "\r\n\r\n" + CHUNKS);
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"", "upgrade: x\r\n", "upgrade: HTTP/1.1\r\n"})
+  void switchOfProtocols(String fields) {
+    assertMalformed("HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\nab");
+  }
+
   /** HTTP/1.0 has no transfer codings (RFC 9112, section 6.1). */
   @Test
   void transferCodingOfHttp10() {
