Refuse requests that name no host, two hosts or an invalid one

What callers saw: a request with two Host fields went where the first one led, with both fields passed on, so that its target could take it for the other host; hosts with blanks, a path or a user name were accepted too. A request of HTTP/1.1 without a Host got 404 or, with arbutus-service, was forwarded without one.

Cause: nothing looked at the field beyond its first value.

Ruled out: health checks, status reports and the operators' requests are not refused for a missing Host. Two hosts are refused on every listener.

Fix: 400, as RFC 9112, section 3.2, demands: HostField in the decoder for what is there, the exit for what is missing, as only calls are routed by it. HTTP/1.0 needs no host.

Evidence: before, the Host cases failed 8 of 13 in RequestDecoderTest; in MalformedRequestTest two hosts failed, and a missing host with arbutus-service got a 200 until the exit looked at it. Now all tests of http, node, platform, tools and cli pass.

--- a/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
@@ -17,7 +17,13 @@
 
   RequestDecoder() {
     super(HttpLimits.applyTo(new HttpDecoderConfig()));
-    syntax = new MessageSyntax(new RequestLine(), Framing::check, this::createInvalidMessage);
+    syntax =
+        new MessageSyntax(new RequestLine(), RequestDecoder::checkHead, this::createInvalidMessage);
+  }
+
+  private static void checkHead(HttpMessage head) throws MalformedMessageException {
+    HostField.check(head.headers());
+    Framing.check(head);
   }
 
   @Override
--- a/http/src/test/java/dev/arbutusroad/http/RequestDecoderTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/RequestDecoderTest.java
@@ -107,6 +107,29 @@
     assertMalformed("GET / HTTP/1.1\r\n" + HOST + line + "\r\n\r\n");
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"a.example", "a.example:80", "[::1]:8080", "", "a_b-c.%41!$&'()*+,;=~"})
+  void validHost(String value) {
+    assertDecoded("GET / HTTP/1.1\r\nHost: " + value + "\r\n\r\n");
+  }
+
+  /** Two recipients could take such a request for two different hosts. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "a.example\r\nHost: b.example",
+        "a.example\r\nhost: a.example",
+        "a.example, b.example",
+        "a.example/b",
+        "a@b.example",
+        "a b",
+        "a\\b",
+        "\u00e4.example",
+      })
+  void hostThatIsAmbiguous(String value) {
+    assertMalformed("GET / HTTP/1.1\r\nHost: " + value + "\r\n\r\n");
+  }
+
   /** What follows the head would be taken for further requests. */
   @ParameterizedTest
   @ValueSource(
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Exit.java
@@ -91,6 +91,10 @@
       refuse(call, Failure.of(ResultCode.NO_CONFIGURATION));
       return;
     }
+    if (!call.namesHost()) {
+      refuse(call, new Failure(ResultCode.BAD_REQUEST, "the request does not name a host"));
+      return;
+    }
     Optional<ReceivedCall> routed = route(call, resolver.orElseThrow());
     if (routed.isEmpty()) {
       refuse(call, Failure.of(ResultCode.NO_ROUTE));
--- a/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/ReceivedCall.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
@@ -91,6 +92,12 @@
     return ArbutusHeaders.text(request().headers(), HttpHeaderNames.HOST.toString()).orElse("");
   }
 
+  /** Returns whether the request has a host header, which HTTP/1.0 does not require. */
+  boolean namesHost() {
+    return request().headers().contains(HttpHeaderNames.HOST)
+        || request().protocolVersion().equals(HttpVersion.HTTP_1_0);
+  }
+
   /** Returns the id of the request for logs, or {@code -}. */
   String id() {
     return requestId.orElse("-");
--- a/node/src/test/java/dev/arbutusroad/node/datapath/MalformedRequestTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedRequestTest.java
@@ -43,6 +43,8 @@
         "GET / HTTP/2.0\r\n" + FIELDS,
         "GET / HTTP/1.1\r\nFoo : 1\r\n" + FIELDS,
         "GET / HTTP/1.1\r\nFoo: 1\r\n bar: 2\r\n" + FIELDS,
+        "GET / HTTP/1.1\r\nHost: drawings\r\n" + FIELDS,
+        "GET / HTTP/1.1\r\narbutus-service: orders\r\nConnection: close\r\n\r\n",
         "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n" + FIELDS + "GET /b HTTP/1.1\r\n" + FIELDS,
         "POST / HTTP/1.0\r\nContent-Length: 0\r\nContent-Length: 2\r\n" + FIELDS + "ab",
       })
