Do not take a malformed answer for the death of its target

What callers saw: after two malformed answers to the same request, with nothing else in progress at their targets, every node refused that request with FATAL_REQUEST for ten minutes, though the targets were alive.

Cause: Hop gave every failure after the request was sent the code of a broken connection, TARGET_DIED at a gate. The gate then counts the request among those that may have crashed the target.

Ruled out: a head that breaks off is still such a sign, as a process that dies leaves one; headThatBreaksOffIsASignOfADeadTarget keeps it.

Fix: an attempt that fails with a MalformedMessageException has the code OUTCOME_UNKNOWN, for heads and for bodies. The gate frees its slot and answers at once, without waiting to see whether the target died.

--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -123,7 +124,7 @@
 
   private boolean receiveHead(HttpResponse head) {
     if (head.decoderResult().isFailure()) {
-      fail(malformed(head.decoderResult().cause()));
+      fail(decodingFailure(head.decoderResult().cause()));
       return false;
     }
     if (MergedHeads.isMerged(head)) {
@@ -150,7 +151,7 @@
   private void receivePart(HttpContent part) {
     if (part.decoderResult().isFailure()) {
       part.release();
-      fail(malformed(part.decoderResult().cause()));
+      fail(decodingFailure(part.decoderResult().cause()));
       return;
     }
     boolean last = part instanceof LastHttpContent;
@@ -169,8 +170,15 @@
     }
   }
 
-  /** The texts of the decoder's own exceptions quote the server, so logs must not contain them. */
-  private static MalformedMessageException malformed(Throwable cause) {
+  /**
+   * Returns the failure of an answer that could not be decoded: a malformed answer, unless the
+   * server closed its output within the head. The texts of the decoder's own exceptions quote the
+   * server, so logs must not contain them.
+   */
+  private static IOException decodingFailure(Throwable cause) {
+    if (cause instanceof PrematureChannelClosureException) {
+      return new IOException("the connection was closed within the head of the answer", cause);
+    }
     return cause instanceof MalformedMessageException malformed
         ? malformed
         : new MalformedMessageException(
--- a/node/src/main/java/dev/arbutusroad/node/datapath/Hop.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/Hop.java
@@ -9,6 +9,7 @@
 import dev.arbutusroad.http.BodyListener;
 import dev.arbutusroad.http.EventLoopThread;
 import dev.arbutusroad.http.HttpConnections;
+import dev.arbutusroad.http.MalformedMessageException;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -100,7 +101,7 @@
       timer.cancel(false);
       listener.attemptEnded(
           sent
-              ? failure(unknownOutcomeCode, "the connection failed: " + cause)
+              ? failure(failureCode(cause, unknownOutcomeCode), "the connection failed: " + cause)
               : failure(
                   ResultCode.TARGET_UNREACHABLE,
                   "the request was not sent: " + cause.getMessage()));
@@ -134,8 +135,16 @@
     }
   }
 
-  /** Returns the result code for an answer whose body failed with the given error. */
+  /**
+   * Returns the result code of an attempt that failed after its request was sent. A peer that has
+   * sent a malformed answer is alive, so its outcome alone is unknown.
+   */
   static ResultCode failureCode(Throwable error, ResultCode unknownOutcomeCode) {
-    return error instanceof TimeoutException ? ResultCode.DEADLINE_EXCEEDED : unknownOutcomeCode;
+    if (error instanceof TimeoutException) {
+      return ResultCode.DEADLINE_EXCEEDED;
+    }
+    return error instanceof MalformedMessageException
+        ? ResultCode.OUTCOME_UNKNOWN
+        : unknownOutcomeCode;
   }
 }
--- a/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import dev.arbutusroad.core.fatal.FatalRequests;
 import dev.arbutusroad.core.resource.Closer;
 import dev.arbutusroad.node.claim.NoClaims;
 import dev.arbutusroad.platform.PlatformCallProtocol;
@@ -9,6 +10,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -109,6 +112,58 @@
     assertThat(received).doesNotEndWith("0\r\n\r\n");
   }
 
+  /**
+   * Guards against refusing a request for good because its target, which is alive, has answered it
+   * with bytes that are no answer.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+        "no answer\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n%s\r\nno chunk\r\n",
+      })
+  void malformedAnswersAreNoSignOfADeadTarget(String malformed) throws Exception {
+    AtomicInteger requests = new AtomicInteger();
+    LoopbackNodes nodes =
+        nodes(id -> requests.incrementAndGet() <= 4 ? malformed.formatted(id) : sound(id));
+    InetSocketAddress entry = nodes.entry();
+    for (int i = 0; i < 4; i++) {
+      assertThat(get(entry)).doesNotEndWith(BODY);
+      awaitDeathDetection(nodes);
+    }
+    assertThat(get(entry)).startsWith("HTTP/1.1 200 ").endsWith(BODY);
+    assertThat(requests).hasValue(5);
+  }
+
+  /** A target that dies while it writes a head leaves an incomplete one, which is a sign of it. */
+  @Test
+  void headThatBreaksOffIsASignOfADeadTarget() throws Exception {
+    RawTarget target =
+        closer.register(
+            RawTarget.start(
+                (request, in, out) -> {
+                  RawTarget.write(out, "HTTP/1.1 200 OK\r\nServer-");
+                  return false;
+                }));
+    LoopbackNodes nodes = nodes(target);
+    InetSocketAddress entry = nodes.entry();
+    for (int i = 0; i < 3; i++) {
+      get(entry);
+      awaitDeathDetection(nodes);
+    }
+    assertThat(target.heads()).hasSize(2);
+    assertThat(get(entry)).contains("FATAL_REQUEST");
+  }
+
+  /** Ticks until the nodes have decided whether broken connections mean the death of a target. */
+  private static void awaitDeathDetection(LoopbackNodes nodes) throws Exception {
+    long endNanos = System.nanoTime() + 2 * FatalRequests.GRACE_NANOS;
+    while (System.nanoTime() - endNanos < 0) {
+      nodes.tick();
+    }
+  }
+
   private void assertNotForwarded(String head) throws Exception {
     assertThat(receiveWithLength(head)).startsWith("HTTP/1.1 502 ").doesNotContain(BODY);
   }
@@ -123,16 +178,33 @@
    * @param answer the answer, with a placeholder for the id of the request and the seal
    */
   private String receive(String answer) throws Exception {
-    RawTarget target =
+    return get(nodes(answer::formatted).entry());
+  }
+
+  private static String sound(String identity) {
+    return "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s"
+        .formatted(identity, BODY.length(), BODY);
+  }
+
+  /**
+   * Starts nodes with a target that answers each request.
+   *
+   * @param answer returns the bytes of an answer, given the fields with its id and its seal
+   */
+  private LoopbackNodes nodes(UnaryOperator<String> answer) throws Exception {
+    return nodes(
         closer.register(
             RawTarget.start(
                 (request, in, out) -> {
                   Matcher id = REQUEST_ID.matcher(request);
                   assertThat(id.find()).as(request).isTrue();
-                  String fields = "Request-Id: " + id.group(1) + "\r\nServer-Seal: s\r\n";
-                  RawTarget.write(out, answer.formatted(fields));
+                  RawTarget.write(
+                      out, answer.apply("Request-Id: " + id.group(1) + "\r\nServer-Seal: s\r\n"));
                   return true;
-                }));
+                })));
+  }
+
+  private LoopbackNodes nodes(RawTarget target) throws Exception {
     LoopbackNodes nodes =
         closer.register(
             new LoopbackNodes(
@@ -140,7 +212,10 @@
                 new NoClaims(),
                 new PlatformCallProtocol()));
     nodes.serving("orders", target.address());
-    InetSocketAddress entry = nodes.entry();
+    return nodes;
+  }
+
+  private static String get(InetSocketAddress entry) throws IOException {
     try (Socket client = new Socket(entry.getAddress(), entry.getPort())) {
       RawTarget.write(
           client.getOutputStream(),
