Check the bytes of a head in one pass over an array

Cause: each line was searched for its end and then read byte by byte from the buffer. The nodes run with the first compiler tier only, in which each access to a buffer costs several calls.

Change: HeadSyntax copies up to 1 KiB at a time into an array of the thread and checks each byte once, whatever the pieces it arrives in; FieldLine, RequestLine and StatusLine keep their place between two pieces. So an incomplete line is checked too, before the decoder can skip a part of it. Values are checked for control characters on the way, which the decoder did before; its own check stays. Whether a body has chunks is looked up once. Reasons that Framing knows are no longer given by an IllegalArgumentException of the decoder.

--- a/http/src/main/java/dev/arbutusroad/http/ChunkedBodySyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/ChunkedBodySyntax.java
@@ -1,6 +1,7 @@
 package dev.arbutusroad.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 
 /** The grammar of a body in chunks (RFC 9112, section 7.1). */
 final class ChunkedBodySyntax implements PartSyntax {
@@ -17,11 +18,6 @@
   private State state = State.SIZE_LINE;
   private int remainingBytes;
 
-  /** Expects the body of the next message. */
-  void reset() {
-    state = State.SIZE_LINE;
-  }
-
   @Override
   public int check(ByteBuf buffer, int start) throws MalformedMessageException {
     int checked = start;
@@ -106,8 +102,16 @@
     if (end == start) {
       state = State.ENDED;
     } else {
-      HeadSyntax.checkFieldLine(buffer, start, end);
+      checkFieldLine(ByteBufUtil.getBytes(buffer, start, end - start));
     }
     return end + Lines.CRLF_LENGTH;
   }
+
+  private static void checkFieldLine(byte[] line) throws MalformedMessageException {
+    FieldLine trailer = new FieldLine();
+    if (trailer.check(line, 0, line.length) < line.length) {
+      throw new MalformedMessageException("the value of a trailer contains a carriage return");
+    }
+    trailer.checkEnd();
+  }
 }
--- a/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ClientConnection.java
@@ -172,17 +172,12 @@
 
   /**
    * Returns the failure of an answer that could not be decoded: a malformed answer, unless the
-   * server closed its output within the head. The texts of the decoder's own exceptions quote the
-   * server, so logs must not contain them.
+   * server closed its output within the head.
    */
   private static IOException decodingFailure(Throwable cause) {
-    if (cause instanceof PrematureChannelClosureException) {
-      return new IOException("the connection was closed within the head of the answer", cause);
-    }
-    return cause instanceof MalformedMessageException malformed
-        ? malformed
-        : new MalformedMessageException(
-            "the answer is malformed: " + cause.getClass().getSimpleName(), cause);
+    return cause instanceof PrematureChannelClosureException
+        ? new IOException("the connection was closed within the head of the answer", cause)
+        : MalformedMessageException.of(cause);
   }
 
   private void fail(IOException cause) {
--- a/http/src/main/java/dev/arbutusroad/http/Framing.java
+++ b/http/src/main/java/dev/arbutusroad/http/Framing.java
@@ -12,20 +12,27 @@
   private Framing() {}
 
   /**
-   * Checks that a message has no transfer coding, or that chunks are its only one. The decoder
-   * decodes nothing else, and would take the coded bytes for the body.
+   * Returns whether the body of a message consists of chunks.
+   *
+   * @throws MalformedMessageException if it has another transfer coding, which the decoder would
+   *     take for the body, or a length beside its coding: such a message may end at different bytes
+   *     for different recipients, which allows request smuggling (section 6.3)
    */
-  static void check(HttpMessage head) throws MalformedMessageException {
+  static boolean isChunked(HttpMessage head) throws MalformedMessageException {
     HttpHeaders headers = head.headers();
     if (!headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-      return;
+      return false;
     }
     if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
       throw new MalformedMessageException("HTTP/1.0 has no transfer codings");
     }
+    if (headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      throw new MalformedMessageException("the body has both a length and a transfer coding");
+    }
     if (!isChunkedOnly(headers.getAll(HttpHeaderNames.TRANSFER_ENCODING))) {
       throw new MalformedMessageException("the body has a transfer coding other than chunks");
     }
+    return true;
   }
 
   /** Returns whether the lists contain one coding, chunks; empty elements don't count. */
--- a/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
@@ -1,16 +1,36 @@
 package dev.arbutusroad.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import java.nio.charset.StandardCharsets;
+import io.netty.util.concurrent.FastThreadLocal;
 
 /** The grammar of the head of a message: a start line, field lines and an empty line. */
 final class HeadSyntax implements PartSyntax {
+  private static final int WINDOW_BYTES = 1_024;
+
+  /** Bytes are copied here, as a loop over an array costs a fraction of one over a buffer. */
+  private static final FastThreadLocal<byte[]> WINDOW =
+      new FastThreadLocal<>() {
+        @Override
+        protected byte[] initialValue() {
+          return new byte[WINDOW_BYTES];
+        }
+      };
+
+  private enum State {
+    BEFORE_START_LINE,
+    START_LINE,
+    START_LINE_END,
+    LINE_START,
+    FIELD_LINE,
+    FIELD_LINE_END,
+    EMPTY_LINE_END,
+    ENDED
+  }
+
   private final StartLine startLine;
+  private final FieldLine fieldLine = new FieldLine();
+  private State state = State.BEFORE_START_LINE;
   private int precedingBytes;
-  private boolean started;
-  private boolean ended;
-  private boolean hasLength;
 
   HeadSyntax(StartLine startLine) {
     this.startLine = startLine;
@@ -18,85 +38,86 @@
 
   /** Expects the head of the next message. */
   void reset() {
+    startLine.reset();
+    fieldLine.reset();
+    state = State.BEFORE_START_LINE;
     precedingBytes = 0;
-    started = false;
-    ended = false;
-    hasLength = false;
   }
 
   @Override
   public int check(ByteBuf buffer, int start) throws MalformedMessageException {
-    int lineStart = skipPrecedingBytes(buffer, start);
-    checkFirstByte(buffer, lineStart);
-    while (!ended) {
-      int lineEnd = Lines.findEnd(buffer, lineStart);
-      if (lineEnd < 0) {
-        break;
-      }
-      checkLine(buffer, lineStart, lineEnd);
-      lineStart = lineEnd + Lines.CRLF_LENGTH;
+    byte[] window = WINDOW.get();
+    int index = start;
+    while (index < buffer.writerIndex() && state != State.ENDED) {
+      int length = Math.min(buffer.writerIndex() - index, window.length);
+      buffer.getBytes(index, window, 0, length);
+      index += check(window, length);
     }
-    return lineStart;
+    return index;
   }
 
-  private int skipPrecedingBytes(ByteBuf buffer, int start) {
-    int index = start;
-    while (!started
-        && precedingBytes < startLine.maxPrecedingBytes()
-        && index < buffer.writerIndex()
-        && Octets.isLineEnd(buffer.getByte(index))) {
-      index++;
-      precedingBytes++;
+  /** Returns the index behind the last byte that belongs to the head. */
+  private int check(byte[] bytes, int end) throws MalformedMessageException {
+    int index = 0;
+    while (index < end && state != State.ENDED) {
+      index =
+          switch (state) {
+            case BEFORE_START_LINE -> skipPrecedingByte(bytes, index);
+            case START_LINE -> checkStartLine(bytes, index, end);
+            case START_LINE_END -> checkLineFeed(bytes, index, State.LINE_START);
+            case LINE_START -> checkLineStart(bytes, index);
+            case FIELD_LINE -> checkFieldLine(bytes, index, end);
+            case FIELD_LINE_END -> checkLineFeed(bytes, index, State.LINE_START);
+            case EMPTY_LINE_END -> checkLineFeed(bytes, index, State.ENDED);
+            case ENDED -> index;
+          };
     }
     return index;
   }
 
-  /** Checks the first byte before its line is complete, as the decoder skips control characters. */
-  private void checkFirstByte(ByteBuf buffer, int index) throws MalformedMessageException {
-    if (!started && index < buffer.writerIndex() && !Octets.isToken(buffer.getByte(index))) {
-      throw new MalformedMessageException("the message does not begin with its start line");
+  private int skipPrecedingByte(byte[] bytes, int index) {
+    if (precedingBytes < startLine.maxPrecedingBytes() && Octets.isLineEnd(bytes[index])) {
+      precedingBytes++;
+      return index + 1;
     }
+    state = State.START_LINE;
+    return index;
   }
 
-  private void checkLine(ByteBuf buffer, int start, int end) throws MalformedMessageException {
-    if (!started) {
-      startLine.check(buffer, start, end);
-      started = true;
-    } else if (start == end) {
-      ended = true;
-    } else {
-      int nameEnd = checkFieldLine(buffer, start, end);
-      countLengths(buffer, start, nameEnd);
+  private int checkStartLine(byte[] bytes, int start, int end) throws MalformedMessageException {
+    int lineEnd = startLine.check(bytes, start, end);
+    if (lineEnd == end) {
+      return end;
     }
+    startLine.checkEnd();
+    state = State.START_LINE_END;
+    return lineEnd + 1;
   }
 
-  /**
-   * Checks that a line begins with a name and a colon; the decoder checks the value. A line that
-   * continues the one before it is obsolete (RFC 9112, section 5.2) and not accepted either.
-   *
-   * @return the index behind the name
-   */
-  static int checkFieldLine(ByteBuf buffer, int start, int end) throws MalformedMessageException {
-    int nameEnd = buffer.forEachByte(start, end - start, Octets.TOKEN);
-    if (nameEnd <= start || buffer.getByte(nameEnd) != ':') {
-      throw new MalformedMessageException("a field line does not begin with a name and a colon");
+  private int checkLineStart(byte[] bytes, int index) {
+    if (bytes[index] == Octets.CARRIAGE_RETURN) {
+      state = State.EMPTY_LINE_END;
+      return index + 1;
     }
-    return nameEnd;
+    state = State.FIELD_LINE;
+    return index;
   }
 
-  /** Rejects a second length, as the decoder of an HTTP/1.0 message uses only the first one. */
-  private void countLengths(ByteBuf buffer, int nameStart, int nameEnd)
-      throws MalformedMessageException {
-    int nameLength = nameEnd - nameStart;
-    if (nameLength != HttpHeaderNames.CONTENT_LENGTH.length()) {
-      return;
+  private int checkFieldLine(byte[] bytes, int start, int end) throws MalformedMessageException {
+    int lineEnd = fieldLine.check(bytes, start, end);
+    if (lineEnd == end) {
+      return end;
     }
-    String name = buffer.toString(nameStart, nameLength, StandardCharsets.US_ASCII);
-    if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
-      if (hasLength) {
-        throw new MalformedMessageException("the length of the body is stated more than once");
-      }
-      hasLength = true;
+    fieldLine.checkEnd();
+    state = State.FIELD_LINE_END;
+    return lineEnd + 1;
+  }
+
+  private int checkLineFeed(byte[] bytes, int index, State next) throws MalformedMessageException {
+    if (bytes[index] != Octets.LINE_FEED) {
+      throw new MalformedMessageException("a carriage return does not end a line of the head");
     }
+    state = next;
+    return index + 1;
   }
 }
--- a/http/src/main/java/dev/arbutusroad/http/MalformedMessageException.java
+++ b/http/src/main/java/dev/arbutusroad/http/MalformedMessageException.java
@@ -8,12 +8,29 @@
  */
 public final class MalformedMessageException extends IOException {
   private static final long serialVersionUID = 1L;
+  private static final String PREFIX = "malformed message: ";
 
+  /**
+   * Creates an exception.
+   *
+   * @param reason a text that quotes nothing of the message, as it goes into logs
+   */
   public MalformedMessageException(String reason) {
-    super(reason);
+    super(PREFIX + reason);
   }
 
-  public MalformedMessageException(String reason, Throwable cause) {
-    super(reason, cause);
+  private MalformedMessageException(String reason, Throwable cause) {
+    super(PREFIX + reason, cause);
+  }
+
+  /**
+   * Returns the exception for a message that could not be decoded. The texts of the decoder's own
+   * exceptions quote the message, so logs must not contain them.
+   */
+  static MalformedMessageException of(Throwable cause) {
+    return cause instanceof MalformedMessageException malformed
+        ? malformed
+        : new MalformedMessageException(
+            "the decoder rejects it: " + cause.getClass().getSimpleName(), cause);
   }
 }
--- a/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
@@ -33,7 +32,6 @@
   private final HeadSyntax head;
   private final HeadCheck headCheck;
   private final Supplier<HttpMessage> invalidMessage;
-  private final ChunkedBodySyntax chunkedBody = new ChunkedBodySyntax();
   private PartSyntax part;
   private int checkedBytes;
   private boolean malformed;
@@ -102,14 +100,17 @@
   }
 
   private void beginBody(HttpMessage decodedHead) {
-    chunkedBody.reset();
-    part = HttpUtil.isTransferEncodingChunked(decodedHead) ? chunkedBody : PartSyntax.UNRESTRICTED;
-    if (decodedHead.decoderResult().isSuccess()) {
-      try {
-        headCheck.check(decodedHead);
-      } catch (MalformedMessageException e) {
-        decodedHead.setDecoderResult(DecoderResult.failure(e));
+    part = PartSyntax.UNRESTRICTED;
+    if (decodedHead.decoderResult().isFailure()) {
+      return;
+    }
+    try {
+      headCheck.check(decodedHead);
+      if (Framing.isChunked(decodedHead)) {
+        part = new ChunkedBodySyntax();
       }
+    } catch (MalformedMessageException e) {
+      decodedHead.setDecoderResult(DecoderResult.failure(e));
     }
   }
 
--- a/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
@@ -7,23 +7,13 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
 
-/**
- * Decodes requests and rejects malformed ones. A request with both a Content-Length and a
- * Transfer-Encoding may end at different bytes for different recipients, which allows request
- * smuggling (RFC 9112, section 6.3).
- */
+/** Decodes requests and rejects malformed ones. */
 final class RequestDecoder extends HttpRequestDecoder {
   private final MessageSyntax syntax;
 
   RequestDecoder() {
     super(HttpLimits.applyTo(new HttpDecoderConfig()));
-    syntax =
-        new MessageSyntax(new RequestLine(), RequestDecoder::checkHead, this::createInvalidMessage);
-  }
-
-  private static void checkHead(HttpMessage head) throws MalformedMessageException {
-    HostField.check(head.headers());
-    Framing.check(head);
+    syntax = new MessageSyntax(new RequestLine(), HostField::check, this::createInvalidMessage);
   }
 
   @Override
@@ -32,8 +22,7 @@
     syntax.decode(buffer, out, () -> super.decode(context, buffer, out));
   }
 
+  /** Keeps both fields, so that {@link Framing} sees and rejects them. */
   @Override
-  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-    throw new IllegalArgumentException("request has both Content-Length and Transfer-Encoding");
-  }
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {}
 }
--- a/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/ResponseDecoder.java
@@ -11,8 +11,8 @@
 import java.util.List;
 
 /**
- * Decodes answers. An answer to a HEAD request has no body, whatever its Content-Length. An answer
- * with both a Content-Length and a Transfer-Encoding is malformed, as its end is ambiguous.
+ * Decodes answers and rejects malformed ones. An answer to a HEAD request has no body, whatever its
+ * Content-Length.
  *
  * <p>Bytes that arrive while no answer is awaited are dropped and reported. Kept in the decoder,
  * they would become the start of the answer to the next request.
@@ -52,14 +52,13 @@
   }
 
   /**
-   * Checks the framing of an answer, and that it does not switch to another protocol: no request
-   * asks for that, and the decoder would pass on all further bytes as they are.
+   * Checks that an answer does not switch to another protocol: no request asks for that, and the
+   * decoder would pass on all further bytes as they are.
    */
   private static void checkHead(HttpMessage head) throws MalformedMessageException {
     if (((HttpResponse) head).status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
       throw new MalformedMessageException("the server switches to another protocol");
     }
-    Framing.check(head);
   }
 
   /** A call decodes at most to the end of a message, so the bytes after it come in another call. */
@@ -96,8 +95,7 @@
     return super.isContentAlwaysEmpty(answer) || connection.isAnswerBodyless();
   }
 
+  /** Keeps both fields, so that {@link Framing} sees and rejects them. */
   @Override
-  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-    throw new IllegalArgumentException("answer has both Content-Length and Transfer-Encoding");
-  }
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {}
 }
--- a/http/src/main/java/dev/arbutusroad/http/StartLine.java
+++ b/http/src/main/java/dev/arbutusroad/http/StartLine.java
@@ -1,16 +1,24 @@
 package dev.arbutusroad.http;
 
-import io.netty.buffer.ByteBuf;
-
-/** The grammar of the first line of a message. */
+/** Checks the first line of a message, whose bytes may arrive in any pieces. */
 interface StartLine {
+  /** Expects the line of the next message. */
+  void reset();
+
+  /**
+   * Checks bytes of the line.
+   *
+   * @return the index of the carriage return that ends the line, or {@code end}
+   * @throws MalformedMessageException if the bytes are not part of a start line
+   */
+  int check(byte[] bytes, int start, int end) throws MalformedMessageException;
+
   /**
-   * Checks a line.
+   * Checks that the line is complete.
    *
-   * @param end the index behind the last byte of the line, without its CRLF
-   * @throws MalformedMessageException if the line is not a start line
+   * @throws MalformedMessageException if it is too short
    */
-  void check(ByteBuf buffer, int start, int end) throws MalformedMessageException;
+  void checkEnd() throws MalformedMessageException;
 
   /** Returns how many bytes of a CRLF may precede the line, as some clients end a body with one. */
   int maxPrecedingBytes();
