Log requests that are refused as malformed

Whoever is on call could not tell why a client got 400 without a result header: such a request never becomes a call, and left no line.

Change: the listeners of calls and of status reports report it, and the data path logs event=request_malformed with the caller's address and the reason, under the rate limit of the other lines. The reason quotes nothing of the request: the decoder's own texts do, and bytes of a client could forge lines.

--- a/http/src/main/java/dev/arbutusroad/http/HttpListener.java
+++ b/http/src/main/java/dev/arbutusroad/http/HttpListener.java
@@ -19,14 +19,19 @@
 
   private final EventLoopThread thread;
   private final ExchangeHandler handler;
+  private final MalformedRequestListener malformedRequestListener;
   private final Set<ServerConnection> connections = new HashSet<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private boolean draining;
   private Channel channel;
 
-  private HttpListener(EventLoopThread thread, ExchangeHandler handler) {
+  private HttpListener(
+      EventLoopThread thread,
+      ExchangeHandler handler,
+      MalformedRequestListener malformedRequestListener) {
     this.thread = thread;
     this.handler = handler;
+    this.malformedRequestListener = malformedRequestListener;
   }
 
   /**
@@ -37,7 +42,21 @@
   public static HttpListener start(
       EventLoopThread thread, InetSocketAddress address, ExchangeHandler handler)
       throws IOException {
-    HttpListener listener = new HttpListener(thread, handler);
+    return start(thread, address, handler, (caller, reason) -> {});
+  }
+
+  /**
+   * Does the same, and tells a listener about the requests that the handler does not see.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public static HttpListener start(
+      EventLoopThread thread,
+      InetSocketAddress address,
+      ExchangeHandler handler,
+      MalformedRequestListener malformedRequestListener)
+      throws IOException {
+    HttpListener listener = new HttpListener(thread, handler, malformedRequestListener);
     ChannelFuture bindFuture =
         new ServerBootstrap()
             .group(thread.loop())
@@ -66,7 +85,8 @@
   private void accept(SocketChannel accepted) {
     ReadThrottle throttle = new ReadThrottle(accepted);
     ServerConnection connection =
-        new ServerConnection(accepted, throttle, handler, this::connectionClosed);
+        new ServerConnection(
+            accepted, throttle, handler, malformedRequestListener, this::connectionClosed);
     connections.add(connection);
     accepted
         .pipeline()
--- a/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerConnection.java
@@ -33,6 +33,7 @@
   private final SocketChannel channel;
   private final ReadThrottle throttle;
   private final ExchangeHandler handler;
+  private final MalformedRequestListener malformedRequestListener;
   private final Consumer<ServerConnection> closeListener;
   private final Deque<PipelinedMessage> pipelined = new ArrayDeque<>(0);
   private ServerExchange current;
@@ -43,10 +44,12 @@
       SocketChannel channel,
       ReadThrottle throttle,
       ExchangeHandler handler,
+      MalformedRequestListener malformedRequestListener,
       Consumer<ServerConnection> closeListener) {
     this.channel = channel;
     this.throttle = throttle;
     this.handler = handler;
+    this.malformedRequestListener = malformedRequestListener;
     this.closeListener = closeListener;
   }
 
@@ -135,6 +138,8 @@
         cause instanceof TooLongHttpHeaderException
             ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             : HttpResponseStatus.BAD_REQUEST;
+    malformedRequestListener.requestRefused(
+        channel.remoteAddress(), MalformedMessageException.of(cause).getMessage());
     current.rejectMalformed(Answer.of(status, Unpooled.EMPTY_BUFFER));
   }
 
--- a/node/src/main/java/dev/arbutusroad/node/datapath/CallLog.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/CallLog.java
@@ -135,6 +135,13 @@
     }
   }
 
+  /** Logs that a request was refused because its head is malformed. */
+  void malformedRequest(String caller, String reason) {
+    if (acquireLine()) {
+      sink.accept("event=request_malformed caller=" + caller + " reason=\"" + reason + '"');
+    }
+  }
+
   private StringBuilder exitLine(String event, OutgoingCall call, Member member) {
     return callLine(event, call.received())
         .append(" kind=")
--- a/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
+++ b/node/src/main/java/dev/arbutusroad/node/datapath/DataPath.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.net.SocketAddress;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,7 @@
   private final TargetLease lease;
   private final TargetSearch search;
   private final Answers answers;
+  private final CallLog log;
   private final DataPathOptions options;
   private final CallTracker tracker = new CallTracker();
   private final Ticker ticker;
@@ -76,7 +78,7 @@
     SecureRandom tokens = new SecureRandom();
     SplittableRandom random = new SplittableRandom(tokens.nextLong());
     answers = new Answers(options.protocol(), new RetryAdvice(random.split()));
-    CallLog log = new CallLog(options.log(), ticker);
+    log = new CallLog(options.log(), ticker);
     lease = new TargetLease(options.limits().targetLeaseMillis(), startedMillis);
     codec = new ContextCodec(options.sharedSecret());
     connections =
@@ -140,6 +142,12 @@
     }
   }
 
+  /** Logs that a listener has refused a request because its head is malformed. */
+  public void requestRefused(SocketAddress caller, String reason) {
+    thread.checkInEventLoop();
+    log.malformedRequest(caller.toString(), reason);
+  }
+
   /** Tells a client that this node stops: connections that it opens later may be reset. */
   private static void addLeavingHeader(Answer answer) {
     answer.headers().set(ArbutusHeaders.LEAVING, "true");
--- a/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
+++ b/node/src/main/java/dev/arbutusroad/node/process/NodeProcess.java
@@ -115,10 +115,16 @@
     ClaimsMetrics.register(claims, metrics);
     dataPath = closer.register(createDataPath());
     callerListener =
-        HttpListener.start(eventLoop, settings.listeners().caller(), dataPath::handleCaller);
+        HttpListener.start(
+            eventLoop,
+            settings.listeners().caller(),
+            dataPath::handleCaller,
+            dataPath::requestRefused);
     ExchangeHandler exitService =
         deployment.announcements().isPresent() ? dataPath::handleExit : new ExitService(dataPath);
-    exitListener = HttpListener.start(eventLoop, settings.listeners().exit(), exitService);
+    exitListener =
+        HttpListener.start(
+            eventLoop, settings.listeners().exit(), exitService, dataPath::requestRefused);
     announcementListener = startAnnouncementListener();
     if (settings.listeners().readiness().isPresent()) {
       HttpListener.start(
@@ -230,7 +236,8 @@
             HttpListener.start(
                 eventLoop,
                 address.orElseThrow(),
-                new AnnouncementService(dataPath, protocol.orElseThrow())))
+                new AnnouncementService(dataPath, protocol.orElseThrow()),
+                dataPath::requestRefused))
         : Optional.empty();
   }
 
--- a/node/src/test/java/dev/arbutusroad/node/datapath/LoopbackNodes.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/LoopbackNodes.java
@@ -35,6 +35,7 @@
   private final CallPolicy policy;
   private final Claims claims;
   private final CallProtocol protocol;
+  private final List<String> logLines = new CopyOnWriteArrayList<>();
   private final FakeNodeContext nodeContext = new FakeNodeContext();
   private long revision = 1;
 
@@ -124,7 +125,7 @@
             protocol,
             Optional.empty(),
             Optional.empty(),
-            line -> {});
+            logLines::add);
     DataPath path =
         new DataPath(
             thread,
@@ -137,7 +138,8 @@
             DepartureLog.none(),
             Long.MIN_VALUE,
             Ticker.system());
-    HttpListener listener = HttpListener.start(thread, ANY, path::handleCaller);
+    HttpListener listener =
+        HttpListener.start(thread, ANY, path::handleCaller, path::requestRefused);
     paths.add(path);
     listeners.add(listener);
     return listener;
@@ -150,6 +152,11 @@
     thread.close();
   }
 
+  /** Returns the lines that the data paths have logged. */
+  List<String> logLines() {
+    return logLines;
+  }
+
   FakeNodeContext nodeContext() {
     return nodeContext;
   }
--- a/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedAnswerTest.java
@@ -112,6 +112,19 @@
     assertThat(received).doesNotEndWith("0\r\n\r\n");
   }
 
+  @Test
+  void reasonIsLogged() throws Exception {
+    LoopbackNodes nodes = nodes(id -> "HTTP/1.1 000 OK\r\n" + id + "\r\n");
+    get(nodes.entry());
+    assertThat(nodes.logLines())
+        .anySatisfy(
+            line ->
+                assertThat(line)
+                    .startsWith("event=gate_failed id=r1 ")
+                    .contains("code=OUTCOME_UNKNOWN")
+                    .contains("the status of the answer is not between 100 and 599"));
+  }
+
   /**
    * Guards against refusing a request for good because its target, which is alive, has answered it
    * with bytes that are no answer.
--- a/node/src/test/java/dev/arbutusroad/node/datapath/MalformedRequestTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/MalformedRequestTest.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import org.assertj.core.api.InstanceOfAssertFactories;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against bytes of a client that are no request, or not the one that its target runs. */
@@ -20,6 +22,7 @@
 
   private final Closer closer = new Closer();
   private RawTarget target;
+  private LoopbackNodes nodes;
 
   @AfterEach
   void close() throws IOException {
@@ -53,6 +56,23 @@
     assertThat(target.heads()).isEmpty();
   }
 
+  /** The reason must not quote the client, whose bytes could forge other lines of the log. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "'GET /\u00fc HTTP/1.1' | the target of the request is not visible ASCII",
+        "'GET / HTTP/1.1\r\nFoo\u0001: 1' | a field line does not begin with a name and a colon",
+        "'GET / HTTP/1.1\r\nContent-Length: +2' | the decoder rejects it: IllegalArgumentException",
+      })
+  void refusalIsLogged(String request, String reason) throws Exception {
+    send(request + "\r\n" + FIELDS);
+    assertThat(nodes.logLines())
+        .singleElement(InstanceOfAssertFactories.STRING)
+        .startsWith("event=request_malformed caller=/127.0.0.1:")
+        .endsWith(" reason=\"malformed message: " + reason + "\"");
+  }
+
   /** Returns what a client receives that sends the given bytes and reads to the end. */
   private String send(String bytes) throws Exception {
     target =
@@ -62,8 +82,7 @@
                   RawTarget.write(out, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
                   return true;
                 }));
-    LoopbackNodes nodes =
-        closer.register(new LoopbackNodes(LoopbackNodes.policy(false, 0, 20_000)));
+    nodes = closer.register(new LoopbackNodes(LoopbackNodes.policy(false, 0, 20_000)));
     nodes.serving("orders", target.address());
     InetSocketAddress entry = nodes.entry();
     try (Socket client = new Socket(entry.getAddress(), entry.getPort())) {
