Let the refusal of a malformed request reach its caller

What callers saw: a client that sent a malformed head and went on with its body got a reset instead of the 400. A reset promises nothing, so it tried the same request again.

Cause: the refusal was followed by a close at once, and closing a socket with unread bytes resets it, which can overtake the answer. Answers that are given before their request has been read linger; that of a malformed request counted as one whose request had been read.

Ruled out: a caller that has sent all its bytes before the close gets the 400 either way.

Fix: the connection lingers: its output is closed, and what arrives is dropped until the caller closes, for at most 2 s as with other answers, and at most 1 MiB, so that a head without end is still cut off.

Evidence: before, refusalOfAMalformedRequestReachesACallerThatGoesOnSending failed with "Connection reset" at its first request; now its 50 requests get their 400. The tests of endless heads, which want their connection closed within 16 MiB, are unchanged and pass, as do all of http and node.

--- a/http/src/main/java/dev/arbutusroad/http/HttpLimits.java
+++ b/http/src/main/java/dev/arbutusroad/http/HttpLimits.java
@@ -11,6 +11,9 @@
   /** Interim answers (status 1xx) to one request. */
   static final int MAX_INTERIM_ANSWERS = 16;
 
+  /** Bytes behind a malformed request that are read, so that its caller can read the refusal. */
+  static final int MAX_DROPPED_BYTES = 1_024 * 1_024;
+
   private HttpLimits() {}
 
   /** Sets the limits on the configuration of a decoder. */
--- a/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/MessageSyntax.java
@@ -35,6 +35,7 @@
   private PartSyntax part;
   private int checkedBytes;
   private boolean malformed;
+  private long droppedBytes;
 
   /**
    * Creates the check of a new connection.
@@ -62,6 +63,7 @@
       }
     }
     if (malformed) {
+      droppedBytes += buffer.readableBytes();
       buffer.skipBytes(buffer.readableBytes());
       return;
     }
@@ -70,6 +72,11 @@
     decoded(readableBytes - buffer.readableBytes(), out);
   }
 
+  /** Returns how many bytes have been dropped since the message that is malformed. */
+  long droppedBytes() {
+    return droppedBytes;
+  }
+
   private void check(ByteBuf buffer) throws MalformedMessageException {
     int start = buffer.readerIndex();
     checkedBytes = part.check(buffer, start + checkedBytes) - start;
--- a/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
+++ b/http/src/main/java/dev/arbutusroad/http/RequestDecoder.java
@@ -20,6 +20,9 @@
   protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
       throws Exception {
     syntax.decode(buffer, out, () -> super.decode(context, buffer, out));
+    if (syntax.droppedBytes() > HttpLimits.MAX_DROPPED_BYTES) {
+      ChannelCalls.close(context.channel());
+    }
   }
 
   /** Keeps both fields, so that {@link Framing} sees and rejects them. */
--- a/http/src/main/java/dev/arbutusroad/http/ServerExchange.java
+++ b/http/src/main/java/dev/arbutusroad/http/ServerExchange.java
@@ -142,9 +142,11 @@
     newAnswer.body().setReady(channel.isWritable());
   }
 
-  /** Answers a malformed request and closes the connection, which cannot be parsed further. */
+  /**
+   * Answers a malformed request and closes the connection, which cannot be parsed further. The end
+   * of the request is unknown, so it counts as not received.
+   */
   void rejectMalformed(Answer newAnswer) {
-    requestReceived = true;
     closeAfterAnswer = true;
     answer(newAnswer);
   }
--- a/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
+++ b/http/src/test/java/dev/arbutusroad/http/ServerConnectionTest.java
@@ -131,6 +131,23 @@
     assertThat(readAll(client)).startsWith("HTTP/1.1 200").endsWith("/b");
   }
 
+  /**
+   * Guards against closing a connection while the rest of a request arrives: the close would be a
+   * reset, which can overtake the refusal.
+   */
+  @Test
+  void refusalOfAMalformedRequestReachesACallerThatGoesOnSending() throws Exception {
+    byte[] part = new byte[1 << 16];
+    for (int i = 0; i < 50; i++) {
+      Socket client = connect(exchange -> exchange.answer(ok("never")));
+      send(client, "POST / HTTP/1.1\r\nFoo : 1\r\nContent-Length: 10000000\r\n\r\n");
+      for (int sent = 0; sent < 8; sent++) {
+        client.getOutputStream().write(part);
+      }
+      assertThat(readAll(client)).as("attempt %d", i).startsWith("HTTP/1.1 400");
+    }
+  }
+
   @Test
   void malformedRequestIsRejectedAndTheConnectionClosed() throws Exception {
     Socket client = connect(exchange -> exchange.answer(ok("never")));
