--- a/http/src/main/java/dev/arbutusroad/http/FieldLine.java
+++ b/http/src/main/java/dev/arbutusroad/http/FieldLine.java
@@ -14,19 +14,19 @@
 
   private boolean inName = true;
   private int nameLength;
-  private boolean namesLength = true;
-  private int lengths;
+  private boolean matchesLengthName = true;
+  private int lengthFields;
 
   /** Expects the first line of the next message. */
   void reset() {
     beginLine();
-    lengths = 0;
+    lengthFields = 0;
   }
 
   private void beginLine() {
     inName = true;
     nameLength = 0;
-    namesLength = true;
+    matchesLengthName = true;
   }
 
   /**
@@ -51,7 +51,7 @@
     while (index < end && Octets.isToken(bytes[index])) {
       index++;
     }
-    namesLength = namesLength && continuesLengthName(bytes, start, index);
+    matchesLengthName = matchesLengthName && continuesLengthName(bytes, start, index);
     nameLength += index - start;
     if (index == end) {
       return index;
@@ -86,9 +86,9 @@
     if (inName) {
       throw noField();
     }
-    if (namesLength && nameLength == LENGTH_NAME.length) {
-      lengths++;
-      if (lengths > 1) {
+    if (matchesLengthName && nameLength == LENGTH_NAME.length) {
+      lengthFields++;
+      if (lengthFields > 1) {
         throw new MalformedMessageException("the length of the body is stated more than once");
       }
     }
--- a/http/src/main/java/dev/arbutusroad/http/PartSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/PartSyntax.java
@@ -8,7 +8,8 @@
   PartSyntax UNRESTRICTED = (buffer, start) -> start;
 
   /**
-   * Checks the bytes of the part that have arrived, except for the start of an incomplete line.
+   * Checks the bytes of the part that have arrived. The start of an incomplete line may be left to
+   * the next call.
    *
    * @param start the index of the first byte that has not been checked
    * @return the index behind the last byte that has been checked
