Give start lines and field lines one interface

HeadSyntax had the same steps for both kinds of lines; they share LineSyntax now, and the two tests of endless bodies their cases.

--- a/http/src/main/java/dev/arbutusroad/http/FieldLine.java
+++ b/http/src/main/java/dev/arbutusroad/http/FieldLine.java
@@ -3,10 +3,10 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Checks the lines of fields, in a head or in trailers (RFC 9112, section 5). A line that continues
- * the one before it is obsolete (section 5.2) and not accepted.
+ * The grammar of the lines of fields, in a head or in trailers (RFC 9112, section 5). A line that
+ * continues the one before it is obsolete (section 5.2) and not accepted.
  */
-final class FieldLine {
+final class FieldLine implements LineSyntax {
   /** The name of the field that states the length of a body; the check ignores its case. */
   private static final byte[] LENGTH_NAME = "content-length".getBytes(StandardCharsets.US_ASCII);
 
@@ -29,13 +29,8 @@
     matchesLengthName = true;
   }
 
-  /**
-   * Checks bytes of a line, from its first byte or from where the last call ended.
-   *
-   * @return the index of the carriage return that ends the line, or {@code end}
-   * @throws MalformedMessageException if the bytes are not part of a field line
-   */
-  int check(byte[] bytes, int start, int end) throws MalformedMessageException {
+  @Override
+  public int check(byte[] bytes, int start, int end) throws MalformedMessageException {
     int index = inName ? checkName(bytes, start, end) : start;
     while (index < end && Octets.isText(bytes[index])) {
       index++;
@@ -82,7 +77,8 @@
    * @throws MalformedMessageException if the line has no name, or states the length of the body
    *     once more: the decoder of an HTTP/1.0 message would use the first length only
    */
-  void checkEnd() throws MalformedMessageException {
+  @Override
+  public void checkEnd() throws MalformedMessageException {
     if (inName) {
       throw noField();
     }
--- a/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
+++ b/http/src/main/java/dev/arbutusroad/http/HeadSyntax.java
@@ -63,10 +63,10 @@
       index =
           switch (state) {
             case BEFORE_START_LINE -> skipPrecedingByte(bytes, index);
-            case START_LINE -> checkStartLine(bytes, index, end);
+            case START_LINE -> checkLine(startLine, bytes, index, end, State.START_LINE_END);
             case START_LINE_END -> checkLineFeed(bytes, index, State.LINE_START);
             case LINE_START -> checkLineStart(bytes, index);
-            case FIELD_LINE -> checkFieldLine(bytes, index, end);
+            case FIELD_LINE -> checkLine(fieldLine, bytes, index, end, State.FIELD_LINE_END);
             case FIELD_LINE_END -> checkLineFeed(bytes, index, State.LINE_START);
             case EMPTY_LINE_END -> checkLineFeed(bytes, index, State.ENDED);
             case ENDED -> index;
@@ -84,13 +84,15 @@
     return index;
   }
 
-  private int checkStartLine(byte[] bytes, int start, int end) throws MalformedMessageException {
-    int lineEnd = startLine.check(bytes, start, end);
+  /** Checks bytes of a line, and proceeds to a state behind its carriage return. */
+  private int checkLine(LineSyntax line, byte[] bytes, int start, int end, State next)
+      throws MalformedMessageException {
+    int lineEnd = line.check(bytes, start, end);
     if (lineEnd == end) {
       return end;
     }
-    startLine.checkEnd();
-    state = State.START_LINE_END;
+    line.checkEnd();
+    state = next;
     return lineEnd + 1;
   }
 
@@ -103,16 +105,6 @@
     return index;
   }
 
-  private int checkFieldLine(byte[] bytes, int start, int end) throws MalformedMessageException {
-    int lineEnd = fieldLine.check(bytes, start, end);
-    if (lineEnd == end) {
-      return end;
-    }
-    fieldLine.checkEnd();
-    state = State.FIELD_LINE_END;
-    return lineEnd + 1;
-  }
-
   private int checkLineFeed(byte[] bytes, int index, State next) throws MalformedMessageException {
     if (bytes[index] != Octets.LINE_FEED) {
       throw new MalformedMessageException("a carriage return does not end a line of the head");
--- a/http/src/main/java/dev/arbutusroad/http/RequestLine.java
+++ b/http/src/main/java/dev/arbutusroad/http/RequestLine.java
@@ -1,8 +1,8 @@
 package dev.arbutusroad.http;
 
 /**
- * Checks a request line (RFC 9112, section 3). The target may contain all visible ASCII characters,
- * also those that should have been percent-encoded: they are forwarded unchanged.
+ * The grammar of a request line (RFC 9112, section 3). The target may contain all visible ASCII
+ * characters, also those that should have been percent-encoded: they are forwarded unchanged.
  */
 final class RequestLine implements StartLine {
   private enum Word {
--- a/http/src/main/java/dev/arbutusroad/http/StatusLine.java
+++ b/http/src/main/java/dev/arbutusroad/http/StatusLine.java
@@ -1,8 +1,8 @@
 package dev.arbutusroad.http;
 
 /**
- * Checks a status line (RFC 9112, section 4) and that its status exists: 100 to 599 (RFC 9110,
- * section 15). The space before an empty reason phrase may be missing.
+ * The grammar of a status line (RFC 9112, section 4) with a status that exists: 100 to 599 (RFC
+ * 9110, section 15). The space before an empty reason phrase may be missing.
  */
 final class StatusLine implements StartLine {
   private static final int STATUS_START = Octets.VERSION_LENGTH + 1;
--- a/node/src/test/java/dev/arbutusroad/node/datapath/EndlessTargetTest.java
+++ b/node/src/test/java/dev/arbutusroad/node/datapath/EndlessTargetTest.java
@@ -16,10 +16,13 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against a target that sends bytes without end until its connection is closed, and makes a
@@ -80,15 +83,18 @@
     assertThat(mostKeptBytes.get()).as(name).isLessThan(MAX_KEPT_BYTES);
   }
 
+  /** Returns the name of each case, the start of the answer and the repeated bytes. */
+  static Stream<Arguments> endlessBodies() {
+    String head = "HTTP/1.1 200 OK\\r\\n%s";
+    return Stream.of(
+        Arguments.of("chunks", "CHUNKED", "1\\r\\nx\\r\\n"),
+        Arguments.of("body without length", head + "\\r\\n", "x"),
+        Arguments.of("long body", head + "Content-Length: 999999999999\\r\\n\\r\\n", "x"));
+  }
+
   /** The body goes on to a client that reads it, and the nodes keep none of it. */
   @ParameterizedTest
-  @CsvSource(
-      delimiter = '|',
-      value = {
-        "chunks              | CHUNKED | 1\\r\\nx\\r\\n",
-        "body without length | HTTP/1.1 200 OK\\r\\n%s\\r\\n | x",
-        "long body           | HTTP/1.1 200 OK\\r\\n%sContent-Length: 999999999999\\r\\n\\r\\n | x",
-      })
+  @MethodSource("endlessBodies")
   void bodyIsNotKeptForAClientThatReads(String name, String start, String repeated)
       throws Exception {
     InetSocketAddress entry = startNodes(start, repeated, LONG_DEADLINE_MILLIS);
@@ -104,13 +110,7 @@
 
   /** The target is held up by back-pressure, and cut off at the deadline of the call. */
   @ParameterizedTest
-  @CsvSource(
-      delimiter = '|',
-      value = {
-        "chunks              | CHUNKED | 1\\r\\nx\\r\\n",
-        "body without length | HTTP/1.1 200 OK\\r\\n%s\\r\\n | x",
-        "long body           | HTTP/1.1 200 OK\\r\\n%sContent-Length: 999999999999\\r\\n\\r\\n | x",
-      })
+  @MethodSource("endlessBodies")
   void bodyIsNotKeptForAClientThatDoesNotRead(String name, String start, String repeated)
       throws Exception {
     InetSocketAddress entry = startNodes(start, repeated, SHORT_DEADLINE_MILLIS);
